--- /dev/null
+++ b/internal/failure/reasons.go
@@ -0,0 +1,70 @@
+package failure
+
+import "net/http"
+
+// Reason names why a request was refused or failed. Each reason has its own counter.
+type Reason string
+
+// Reasons of refusals and failures, as sent in the Acacialock-Reason header.
+const (
+	// Entry node.
+	UnknownService      Reason = "unknown-service"
+	BadRequest          Reason = "bad-request"
+	NoServiceList       Reason = "no-service-list"
+	NoTarget            Reason = "no-target"
+	DepthExceeded       Reason = "depth-exceeded"
+	DeadlineExceeded    Reason = "deadline-exceeded"
+	RetryBudget         Reason = "retry-budget-exhausted"
+	BodyNotReplayable   Reason = "body-not-replayable"
+	ConnectFailed       Reason = "connect-failed"
+	ConnectionLost      Reason = "connection-lost"
+	ConnectionSilent    Reason = "connection-silent"
+	CallerGone          Reason = "caller-gone"
+	NodeUnreachable     Reason = "node-unreachable"
+	DependencyForbidden Reason = "dependency-not-declared"
+
+	// Target's node.
+	Draining            Reason = "draining"
+	QueueFull           Reason = "queue-full"
+	DeadlineUnreachable Reason = "deadline-unreachable"
+	ConnectionLimit     Reason = "connection-limit"
+	WrongIncarnation    Reason = "wrong-incarnation"
+	WrongService        Reason = "wrong-service"
+	DuplicateAttempt    Reason = "duplicate-attempt"
+	Fenced              Reason = "fenced"
+	LedgerFull          Reason = "attempt-ledger-full"
+	Quarantined         Reason = "quarantined"
+	TargetUnreachable   Reason = "target-unreachable"
+	TargetBroke         Reason = "target-connection-broke"
+
+	// Calls with an Idempotency-Key.
+	BadKey             Reason = "bad-idempotency-key"
+	KeyReused          Reason = "key-reused"
+	KeyStoreFull       Reason = "key-store-full"
+	KeyOwnerNotReady   Reason = "key-owner-not-ready"
+	KeyOwnerGone       Reason = "key-owner-unreachable"
+	KeyAuthorityLapsed Reason = "key-authority-lapsed"
+	KeyHistoryLost     Reason = "key-history-lost"
+	KeyRosterMismatch  Reason = "key-roster-mismatch"
+	KeyInProgress      Reason = "key-in-progress"
+	AnswerNotKept      Reason = "answer-not-kept"
+	KeyRunnerGone      Reason = "key-runner-gone"
+)
+
+// statuses holds the reasons that are not answered with 503 Service Unavailable.
+var statuses = map[Reason]int{
+	UnknownService:      http.StatusNotFound,
+	BadRequest:          http.StatusBadRequest,
+	DepthExceeded:       http.StatusLoopDetected,
+	DeadlineExceeded:    http.StatusGatewayTimeout,
+	DeadlineUnreachable: http.StatusServiceUnavailable,
+	ConnectionLost:      http.StatusBadGateway,
+	ConnectionSilent:    http.StatusGatewayTimeout,
+	DependencyForbidden: http.StatusForbidden,
+	TargetBroke:         http.StatusBadGateway,
+	BadKey:              http.StatusBadRequest,
+	KeyReused:           http.StatusUnprocessableEntity,
+	KeyInProgress:       http.StatusConflict,
+	AnswerNotKept:       http.StatusConflict,
+	Quarantined:         http.StatusUnprocessableEntity,
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,39 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a codec that loses a field of the load sample.
+func TestLoadSampleRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sample := LoadSample{
+			InFlight: rapid.IntRange(0, 1000).Draw(t, "in flight"),
+			Queued:   rapid.IntRange(0, 1000).Draw(t, "queued"),
+			Latency:  time.Duration(rapid.IntRange(0, 1e9).Draw(t, "latency")) * time.Microsecond,
+			Draining: rapid.Bool().Draw(t, "draining"),
+		}
+		decoded, err := ParseLoadSample(sample.String())
+		assert.NilError(t, err)
+		assert.Equal(t, decoded, sample)
+	})
+}
+
+// Guards against a panic or a wrong value on hostile header text.
+func FuzzParseLoadSample(f *testing.F) {
+	f.Add("1,2,3,0")
+	f.Add(",,,")
+	f.Fuzz(func(t *testing.T, text string) {
+		sample, err := ParseLoadSample(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseLoadSample(sample.String())
+		assert.NilError(t, err)
+		assert.Equal(t, again, sample)
+	})
+}
