--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,4 +1,3 @@
-// Package platform is the client of the platform's transactional table and object store.
 package platform
 
 import (
