Add the platform stand-in with faults

Tests, the demo and the benchmarks need a platform that can be down, slow, rate limited, silent on open connections, or lose the answer of a write.

--- /dev/null
+++ b/internal/platformtest/operations.go
@@ -0,0 +1,138 @@
+package platformtest
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/acacialock/acacialock/internal/platform"
+)
+
+// nameOrPrefix is the body of every read.
+type nameOrPrefix struct {
+	Name   string `json:"name"`
+	Prefix string `json:"prefix"`
+}
+
+// read wraps a read with the faults that come before it and the rate limit.
+func (s *Server) read(operation func(nameOrPrefix) (int, any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request nameOrPrefix
+		if !s.receive(w, r, &request) || !s.admit(w, false, 1) {
+			return
+		}
+		s.count(func(stats *Stats) *int64 { return &stats.Reads })
+		status, body := operation(request)
+		s.answer(w, r, status, body)
+	}
+}
+
+func missing(name string) (int, any) {
+	return http.StatusNotFound, platform.ErrorResponse{Message: fmt.Sprintf("%q does not exist", name)}
+}
+
+func (s *Server) tableGet(request nameOrPrefix) (int, any) {
+	row, ok := s.store.get(request.Name)
+	if !ok {
+		return missing(request.Name)
+	}
+	return http.StatusOK, rowsResponse([]platform.Row{row})
+}
+
+func (s *Server) tableScan(request nameOrPrefix) (int, any) {
+	return http.StatusOK, rowsResponse(s.store.scan(request.Prefix))
+}
+
+func (s *Server) objectGet(request nameOrPrefix) (int, any) {
+	data, ok := s.store.object(request.Name)
+	if !ok {
+		return missing(request.Name)
+	}
+	return http.StatusOK, platform.ObjectMessage{Name: request.Name, Data: data}
+}
+
+func (s *Server) objectList(request nameOrPrefix) (int, any) {
+	return http.StatusOK, platform.NamesResponse{Names: s.store.list(request.Prefix)}
+}
+
+func (s *Server) tableCommit(w http.ResponseWriter, r *http.Request) {
+	var request platform.CommitRequest
+	if !s.receive(w, r, &request) {
+		return
+	}
+	if problem := checkCommit(request); problem != "" {
+		fail(w, http.StatusBadRequest, problem)
+		return
+	}
+	if !s.admit(w, true, len(request.Writes)) {
+		return
+	}
+	writes := make([]platform.Write, len(request.Writes))
+	for i, write := range request.Writes {
+		writes[i] = platform.Write(write)
+	}
+	decided, repeated := s.store.commit(request.WriteID, writes)
+	s.countCommit(decided, repeated)
+	if len(decided.conflict) > 0 {
+		s.answerWrite(w, r, http.StatusConflict, rowsResponse(decided.conflict))
+		return
+	}
+	s.answerWrite(w, r, http.StatusOK, platform.CommitResponse{Versions: decided.versions})
+}
+
+func (s *Server) countCommit(decided decision, repeated bool) {
+	s.count(func(stats *Stats) *int64 {
+		switch {
+		case repeated:
+			return &stats.Repeated
+		case len(decided.conflict) > 0:
+			return &stats.Conflicts
+		}
+		return &stats.Commits
+	})
+}
+
+// checkCommit returns what is wrong with the request, or "".
+func checkCommit(request platform.CommitRequest) string {
+	if request.WriteID == "" {
+		return "write_id is missing"
+	}
+	if len(request.Writes) == 0 {
+		return "the commit has no writes"
+	}
+	seen := map[string]bool{}
+	for _, write := range request.Writes {
+		if write.Key == "" || seen[write.Key] {
+			return fmt.Sprintf("key %q is empty or occurs twice", write.Key)
+		}
+		seen[write.Key] = true
+	}
+	return ""
+}
+
+func (s *Server) objectPut(w http.ResponseWriter, r *http.Request) {
+	var request platform.ObjectMessage
+	if !s.receive(w, r, &request) {
+		return
+	}
+	if request.Name == "" {
+		fail(w, http.StatusBadRequest, "the object has no name")
+		return
+	}
+	if !s.admit(w, true, 1) {
+		return
+	}
+	if !s.store.put(request.Name, request.Data) {
+		s.answerWrite(w, r, http.StatusConflict, platform.RowsResponse{})
+		return
+	}
+	s.count(func(stats *Stats) *int64 { return &stats.Puts })
+	s.answerWrite(w, r, http.StatusOK, struct{}{})
+}
+
+func rowsResponse(rows []platform.Row) platform.RowsResponse {
+	response := platform.RowsResponse{Rows: make([]platform.RowMessage, len(rows))}
+	for i, row := range rows {
+		response.Rows[i] = platform.RowMessage(row)
+	}
+	return response
+}
