--- /dev/null
+++ b/internal/servicelist/parse.go
@@ -0,0 +1,169 @@
+package servicelist
+
+import (
+	"bytes"
+	"sort"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/tomlcheck"
+)
+
+// Defaults of the optional keys.
+const (
+	DefaultRegionBytesPerSecond = 14000
+	DefaultLinkBytesPerSecond   = 1000
+	DefaultTimeout              = 10 * time.Second
+	DefaultResendWindow         = 10 * time.Minute
+	DefaultSlots                = 9
+	DefaultConnections          = 260
+	DefaultQueue                = 9
+	DefaultBudgetPercent        = 10
+	DefaultHedgePercent         = 5
+)
+
+// Bounds of the values.
+const (
+	MaxTextBytes     = 1 << 20
+	MinRegionBytes   = 500     // a heartbeat each second with its answer takes about 400 bytes
+	MaxLinkBytes     = 3750000 // 30 Mbit/s, all that the link between regions carries
+	MinTimeout       = time.Millisecond
+	MaxTimeout       = time.Hour
+	MinResendWindow  = time.Second
+	MaxResendWindow  = time.Hour
+	MaxSlots         = 10000
+	MaxConnections   = 100000
+	MaxQueue         = 100000
+	MaxBudgetPercent = 10
+	MaxHedgePercent  = 5
+)
+
+// listText is the TOML form of a list. Pointers tell an absent key from a zero value.
+type listText struct {
+	Measuring measuringText           `toml:"measuring"`
+	Services  map[string]*serviceText `toml:"services"`
+}
+
+type measuringText struct {
+	RegionBytesPerSecond *int `toml:"region_bytes_per_second"`
+	LinkBytesPerSecond   *int `toml:"link_bytes_per_second"`
+}
+
+type serviceText struct {
+	DependsOn    []string    `toml:"depends_on"`
+	HomeRegion   *string     `toml:"home_region"`
+	Timeout      *string     `toml:"timeout"`
+	ResendWindow *string     `toml:"resend_window"`
+	Idempotent   []routeText `toml:"idempotent"`
+	Limits       limitsText  `toml:"limits"`
+	Retry        retryText   `toml:"retry"`
+}
+
+type routeText struct {
+	Method     string `toml:"method"`
+	PathPrefix string `toml:"path_prefix"`
+}
+
+type limitsText struct {
+	Slots       *int `toml:"slots"`
+	Connections *int `toml:"connections"`
+	Queue       *int `toml:"queue"`
+}
+
+type retryText struct {
+	BudgetPercent *int `toml:"budget_percent"`
+	HedgePercent  *int `toml:"hedge_percent"`
+}
+
+// Parse reads and checks a service list in TOML. It fails with *Error, which holds all problems found. The list has
+// version 0.
+func Parse(text []byte) (*List, error) {
+	if len(text) > MaxTextBytes {
+		problem := tomlcheck.Problem{Kind: tomlcheck.OutOfRange, Message: "the text is longer than 1 MiB"}
+		return nil, &Error{Problems: []tomlcheck.Problem{problem}}
+	}
+	var decoded listText
+	document := tomlcheck.Decode(text, &decoded)
+	if !document.Usable() {
+		return nil, &Error{Problems: document.Problems()}
+	}
+	list := &List{Text: bytes.Clone(text), Services: map[string]*Service{}}
+	list.Measuring = measuring(document, decoded.Measuring)
+	for _, name := range sortedNames(decoded.Services) {
+		list.Services[name] = service(document, name, decoded.Services[name])
+	}
+	checkWhole(document, list)
+	if problems := document.Problems(); len(problems) > 0 {
+		return nil, &Error{Problems: problems}
+	}
+	return list, nil
+}
+
+func sortedNames[T any](services map[string]T) []string {
+	names := make([]string, 0, len(services))
+	for name := range services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func measuring(document *tomlcheck.Document, text measuringText) Measuring {
+	budget := Measuring{
+		RegionBytesPerSecond: valueOr(text.RegionBytesPerSecond, DefaultRegionBytesPerSecond),
+		LinkBytesPerSecond:   valueOr(text.LinkBytesPerSecond, DefaultLinkBytesPerSecond),
+	}
+	document.CheckRange(tomlcheck.Key{"measuring", "region_bytes_per_second"}, budget.RegionBytesPerSecond, MinRegionBytes, MaxLinkBytes)
+	document.CheckRange(tomlcheck.Key{"measuring", "link_bytes_per_second"}, budget.LinkBytesPerSecond, 0, MaxLinkBytes)
+	return budget
+}
+
+func service(document *tomlcheck.Document, name string, text *serviceText) *Service {
+	key := func(parts ...string) tomlcheck.Key { return append(tomlcheck.Key{"services", name}, parts...) }
+	document.CheckLabel(key(), name)
+	result := &Service{Name: name, DependsOn: text.DependsOn, HomeRegion: valueOr(text.HomeRegion, "")}
+	if text.HomeRegion != nil {
+		document.CheckLabel(key("home_region"), result.HomeRegion)
+	}
+	result.Timeout = document.Duration(key("timeout"), text.Timeout, DefaultTimeout, MinTimeout, MaxTimeout)
+	result.ResendWindow = document.Duration(key("resend_window"), text.ResendWindow, DefaultResendWindow, MinResendWindow, MaxResendWindow)
+	result.Idempotent = routes(document, key("idempotent"), text.Idempotent)
+	result.Limits = limits(document, key("limits"), text.Limits)
+	result.Retry = retry(document, key("retry"), text.Retry)
+	return result
+}
+
+func limits(document *tomlcheck.Document, table tomlcheck.Key, text limitsText) Limits {
+	result := Limits{
+		Slots:       valueOr(text.Slots, DefaultSlots),
+		Connections: valueOr(text.Connections, DefaultConnections),
+		Queue:       valueOr(text.Queue, DefaultQueue),
+	}
+	document.CheckRange(child(table, "slots"), result.Slots, 1, MaxSlots)
+	document.CheckRange(child(table, "connections"), result.Connections, 1, MaxConnections)
+	document.CheckRange(child(table, "queue"), result.Queue, 0, MaxQueue)
+	if result.Connections < result.Slots {
+		document.Add(tomlcheck.OutOfRange, child(table, "connections"), "%d connections are too few for %d slots: allowed is slots or more", result.Connections, result.Slots)
+	}
+	return result
+}
+
+func retry(document *tomlcheck.Document, table tomlcheck.Key, text retryText) Retry {
+	result := Retry{
+		BudgetPercent: valueOr(text.BudgetPercent, DefaultBudgetPercent),
+		HedgePercent:  valueOr(text.HedgePercent, DefaultHedgePercent),
+	}
+	document.CheckRange(child(table, "budget_percent"), result.BudgetPercent, 0, MaxBudgetPercent)
+	document.CheckRange(child(table, "hedge_percent"), result.HedgePercent, 0, MaxHedgePercent)
+	return result
+}
+
+func valueOr[T any](value *T, fallback T) T {
+	if value == nil {
+		return fallback
+	}
+	return *value
+}
+
+func child(table tomlcheck.Key, name string) tomlcheck.Key {
+	return append(table[:len(table):len(table)], name)
+}
