--- /dev/null
+++ b/demo/target/main.go
@@ -0,0 +1,136 @@
+// Command target is a small back end for the demo and the tests: it has a fixed number of slots, answers with its name,
+// counts what it ran, and can be told to slow down, break or end.
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Listen  string        `arg:"--listen,required" help:"IP:port to listen on"`
+	Name    string        `arg:"--name" default:"target" help:"name given in answers"`
+	Slots   int           `arg:"--slots" default:"9" help:"requests served at once; more are refused with 503"`
+	Service time.Duration `arg:"--service-time" default:"2ms" help:"time to serve one request"`
+	Log     string        `arg:"--run-log" help:"file to which each run of a request with an X-Order header is appended"`
+}
+
+// target serves requests. The header X-Order names a request for the run log; X-Crash ends the process when it runs.
+type target struct {
+	args     arguments
+	inFlight atomic.Int64
+	runs     atomic.Int64
+	delay    atomic.Int64 // nanoseconds
+	logMu    sync.Mutex
+	log      *os.File
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := serve(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func serve(args arguments) error {
+	t := &target{args: args}
+	t.delay.Store(int64(args.Service))
+	if args.Log != "" {
+		file, err := os.OpenFile(args.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		t.log = file
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("POST /control/delay", t.setDelay)
+	mux.HandleFunc("/stream", t.stream)
+	mux.HandleFunc("/", t.run)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{Addr: args.Listen, Handler: mux}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (t *target) setDelay(w http.ResponseWriter, r *http.Request) {
+	delay, err := time.ParseDuration(r.URL.Query().Get("d"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.delay.Store(int64(delay))
+}
+
+// run serves one request and answers with the target's name and a digest of the body.
+func (t *target) run(w http.ResponseWriter, r *http.Request) {
+	if t.inFlight.Add(1) > int64(t.args.Slots) {
+		t.inFlight.Add(-1)
+		http.Error(w, "no free slot", http.StatusServiceUnavailable)
+		return
+	}
+	defer t.inFlight.Add(-1)
+	t.record(r.Header.Get("X-Order"))
+	if r.Header.Get("X-Crash") != "" {
+		os.Exit(3)
+	}
+	digest := sha256.New()
+	if _, err := io.Copy(digest, r.Body); err != nil {
+		return // the request broke off; nobody waits for an answer
+	}
+	time.Sleep(time.Duration(t.delay.Load()))
+	w.Header().Set("X-Target", t.args.Name)
+	w.Header().Set("X-Run", strconv.FormatInt(t.runs.Add(1), 10))
+	fmt.Fprintf(w, "%s %s %s order=%s body=%s\n", t.args.Name, r.Method, r.URL.Path, r.Header.Get("X-Order"), hex.EncodeToString(digest.Sum(nil)[:8]))
+}
+
+// record appends the order to the run log before the request takes effect.
+func (t *target) record(order string) {
+	if t.log == nil || order == "" {
+		return
+	}
+	t.logMu.Lock()
+	defer t.logMu.Unlock()
+	fmt.Fprintf(t.log, "%s %s\n", order, t.args.Name)
+}
+
+// stream answers with n chunks, a pause between them, and a trailer that holds the digest.
+func (t *target) stream(w http.ResponseWriter, r *http.Request) {
+	chunks, err := strconv.Atoi(r.URL.Query().Get("n"))
+	if err != nil || chunks < 0 || chunks > 1_000_000 {
+		http.Error(w, "n must be a number of chunks", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Trailer", "X-Digest")
+	digest := sha256.New()
+	out := io.MultiWriter(w, digest)
+	for i := range chunks {
+		fmt.Fprintf(out, "chunk %d of %d from %s\n", i, chunks, t.args.Name)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Duration(t.delay.Load()))
+	}
+	w.Header().Set("X-Digest", hex.EncodeToString(digest.Sum(nil)))
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,120 @@
+// Package entry is the callers' side of a node: it chooses a target for each call, sends attempts to the target's
+// node, repeats them where that is safe, and tells the caller what became of a call that gets no answer.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/balance"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/keys"
+	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// Config configures a Handler. All fields are required except Keys.
+type Config struct {
+	View      *cluster.View
+	Transport *forward.Transport
+	// Policies gives the balancer and the budgets of a service.
+	Policies *Policies
+	// Attempts returns a client that asks the node at a peer address on a new connection.
+	Attempts func(peerAddr string) rpc.Attempts
+	// Keys claims Idempotency-Keys; nil refuses calls that carry one.
+	Keys    *keys.Client
+	Metrics *telemetry.Registry
+}
+
+// Handler serves callers on the entry listener. Safe for concurrent use.
+type Handler struct {
+	config    Config
+	latencies *latencies
+}
+
+// New returns a handler.
+func New(config Config) *Handler {
+	return &Handler{config: config, latencies: newLatencies()}
+}
+
+// ServeHTTP serves one caller's request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	h.serve(w, request, true)
+}
+
+// ServeRelay serves a keyed call that an entry node of another region passed on, under wire.RelayPath.
+func (h *Handler) ServeRelay(w http.ResponseWriter, request *http.Request) {
+	request.URL.Path = strings.TrimPrefix(request.URL.Path, wire.RelayPath)
+	request.URL.RawPath = strings.TrimPrefix(request.URL.RawPath, wire.RelayPath)
+	h.serve(w, request, false)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, request *http.Request, mayRelay bool) {
+	h.config.Metrics.Counter("entry.calls").Inc(1)
+	c, failed := h.newCall(request)
+	if failed != nil {
+		h.refuse(w, failed)
+		return
+	}
+	ctx, cancel := c.withDeadline()
+	defer cancel()
+	h.answer(w, c, h.dispatch(ctx, c, mayRelay))
+}
+
+// dispatch takes the way that the kind of call allows.
+func (h *Handler) dispatch(ctx context.Context, c *call, mayRelay bool) result {
+	switch {
+	case c.key == "":
+		return h.send(ctx, c)
+	case h.config.Keys == nil || c.service.HomeRegion == "":
+		return result{failed: failure.New(failure.BadKey, failure.NotRun, "service %q has no home_region and takes no %s", c.service.Name, wire.IdempotencyKey)}
+	case c.service.HomeRegion != c.snapshot.Self.Region && mayRelay:
+		return h.relay(ctx, c)
+	default:
+		return h.sendKeyed(ctx, c)
+	}
+}
+
+func (h *Handler) answer(w http.ResponseWriter, c *call, final result) {
+	switch {
+	case final.failed != nil:
+		h.refuse(w, final.failed)
+	case final.kept != nil:
+		replay(w, final.kept)
+	default:
+		stop := context.AfterFunc(c.request.Context(), func() { _ = final.response.Body.Close() })
+		defer stop()
+		h.stream(w, final.response)
+	}
+}
+
+// observed reports an attempt's end to the balancer and to the latency tracker.
+func (h *Handler) observed(c *call, pick balance.Pick, ended result) result {
+	if ended.response != nil {
+		h.latencies.route(c.service.Name, c.request.Method).record(ended.latency, time.Now())
+	}
+	report := balance.Result{Sample: ended.sample, Latency: ended.latency}
+	if ended.failed != nil {
+		report.Class, report.Reason = classify(ended.failed), ended.failed.Reason
+	}
+	pick.Done(report)
+	return ended
+}
+
+// classify tells the balancer what a failure says about the target.
+func classify(failed *failure.Error) balance.Class {
+	switch failed.Reason {
+	case failure.CallerGone, failure.DuplicateAttempt, failure.Quarantined:
+		return balance.Cancelled
+	case failure.ConnectFailed, failure.ConnectionLost, failure.ConnectionSilent, failure.NodeUnreachable,
+		failure.DeadlineExceeded, failure.TargetBroke, failure.TargetUnreachable:
+		return balance.Failed
+	default:
+		return balance.Refused
+	}
+}
--- /dev/null
+++ b/internal/entry/policies.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/acacialock/acacialock/internal/balance"
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+)
+
+// PoliciesConfig configures Policies.
+type PoliciesConfig struct {
+	Self cluster.Member
+	// Probe asks a node for its load; see balance.Config.
+	Probe balance.ProbeFunc
+	// Bytes is the node's budget of measuring and control bytes.
+	Bytes   *budget.Bytes
+	Metrics *telemetry.Registry
+}
+
+// Policies holds a balancer, a retry budget and a hedge budget for each service that the node reaches. Safe for
+// concurrent use.
+type Policies struct {
+	config PoliciesConfig
+	mu     sync.RWMutex
+	byName map[string]*Policy
+	latest *cluster.Snapshot
+}
+
+// Policy is what an entry node decides a service's sends by.
+type Policy struct {
+	balancer *balance.Pool
+	retry    *budget.Ratio
+	hedge    *budget.Ratio
+}
+
+// NewPolicies returns an empty set; Update fills it.
+func NewPolicies(config PoliciesConfig) *Policies {
+	return &Policies{config: config, byName: map[string]*Policy{}, latest: &cluster.Snapshot{}}
+}
+
+// Update takes over a new snapshot: members, budgets and services that went away.
+func (p *Policies) Update(snapshot *cluster.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latest = snapshot
+	if snapshot.List == nil {
+		return
+	}
+	p.config.Bytes.SetLimits(budget.Limits(snapshot.List.Measuring))
+	for name, policy := range p.byName {
+		service := snapshot.Service(name)
+		if service == nil {
+			policy.balancer.Close()
+			delete(p.byName, name)
+			continue
+		}
+		policy.retry.SetPercent(service.Retry.BudgetPercent)
+		policy.hedge.SetPercent(service.Retry.HedgePercent)
+		policy.balancer.Update(snapshot.Members[name])
+	}
+}
+
+// For returns the policy of a service, made on first use.
+func (p *Policies) For(service *servicelist.Service) *Policy {
+	p.mu.RLock()
+	policy, ok := p.byName[service.Name]
+	p.mu.RUnlock()
+	if ok {
+		return policy
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if policy, ok = p.byName[service.Name]; ok {
+		return policy
+	}
+	policy = p.newPolicy(service)
+	p.byName[service.Name] = policy
+	return policy
+}
+
+func (p *Policies) newPolicy(service *servicelist.Service) *Policy {
+	pool := balance.NewPool(balance.Config{
+		Service: service.Name,
+		Self:    p.config.Self,
+		Slots:   service.Limits.Slots,
+		Probe:   p.config.Probe,
+		Bytes:   p.config.Bytes,
+		Metrics: p.config.Metrics,
+	})
+	pool.Update(p.latest.Members[service.Name])
+	return &Policy{
+		balancer: pool,
+		retry:    budget.NewRatio(service.Retry.BudgetPercent, nil),
+		hedge:    budget.NewRatio(service.Retry.HedgePercent, nil),
+	}
+}
+
+// Close ends the balancers' probes.
+func (p *Policies) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, policy := range p.byName {
+		policy.balancer.Close()
+		delete(p.byName, name)
+	}
+}
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/balance"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// maxParallel bounds the attempts of one call in flight at once: the first and one hedge.
+const maxParallel = 2
+
+// send runs a call without a key: attempts one after another, and a hedge beside a slow idempotent one.
+func (h *Handler) send(ctx context.Context, c *call) result {
+	policy := h.config.Policies.For(c.service)
+	policy.retry.First()
+	policy.hedge.First()
+	ctx, cancelLosers := context.WithCancel(ctx)
+	defer cancelLosers()
+	ended := make(chan result, maxParallel+1)
+	if failed := h.launch(ctx, c, policy, ended); failed != nil {
+		return result{failed: failed}
+	}
+	pending := 1
+	hedge := h.hedgeTimer(c)
+	defer hedge.Stop()
+	for {
+		select {
+		case <-hedge.C:
+			if h.launchHedge(ctx, c, policy, ended) {
+				pending++
+			}
+		case one := <-ended:
+			pending--
+			if one.failed == nil {
+				closeLate(ended, pending)
+				return one
+			}
+			if h.mayRepeat(c, policy, one.failed) && h.launch(ctx, c, policy, ended) == nil {
+				pending++
+			}
+			if pending == 0 {
+				return one
+			}
+		}
+	}
+}
+
+// closeLate drops the answers of attempts that lost against the hedge or its first.
+func closeLate(ended chan result, pending int) {
+	if pending == 0 {
+		return
+	}
+	go func() {
+		for range pending {
+			if late := <-ended; late.response != nil {
+				_ = late.response.Body.Close()
+			}
+		}
+	}()
+}
+
+// launch picks a target and starts an attempt in the background.
+func (h *Handler) launch(ctx context.Context, c *call, policy *Policy, ended chan<- result) *failure.Error {
+	pick, err := policy.balancer.Pick(balance.Request{Exclude: c.tried})
+	if err != nil {
+		return asFailure(err)
+	}
+	started := h.newAttempt(c, pick.Member)
+	go func() { ended <- h.observed(c, pick, started.run(ctx)) }()
+	return nil
+}
+
+func (h *Handler) launchHedge(ctx context.Context, c *call, policy *Policy, ended chan<- result) bool {
+	if !c.body.replayable() || !policy.hedge.Spend() {
+		h.config.Metrics.Counter("hedge.denied").Inc(1)
+		return false
+	}
+	if h.launch(ctx, c, policy, ended) != nil {
+		policy.hedge.Return()
+		return false
+	}
+	h.config.Metrics.Counter("hedge.sent").Inc(1)
+	return true
+}
+
+// hedgeTimer fires when an idempotent call is slower than usual. Nested calls are not hedged: hedges at each of ten
+// layers would multiply.
+func (h *Handler) hedgeTimer(c *call) *time.Timer {
+	after := h.latencies.route(c.service.Name, c.request.Method).hedgeAfter()
+	timer := time.NewTimer(after)
+	if after == 0 || !c.idempotent || c.depth > 0 || c.body.streamed() {
+		timer.Stop()
+	}
+	return timer
+}
+
+// newAttempt prepares a send; it is called by the call's own goroutine only.
+func (h *Handler) newAttempt(c *call, member cluster.Member) *attempt {
+	c.tried = append(c.tried, member.ID)
+	c.sends++
+	return &attempt{handler: h, call: c, id: wire.NewAttemptID(), member: member, sends: c.sends}
+}
+
+// mayRepeat decides whether a failed attempt is followed by another and takes it from the budget.
+func (h *Handler) mayRepeat(c *call, policy *Policy, failed *failure.Error) bool {
+	if !repeatable(c, failed) || c.sends >= maxSends || c.left() <= 0 {
+		return false
+	}
+	if !c.body.replayable() {
+		h.config.Metrics.Counter("retry.denied.body-not-replayable").Inc(1)
+		return false
+	}
+	if !policy.retry.Spend() {
+		h.config.Metrics.Counter("retry.denied.budget").Inc(1)
+		return false
+	}
+	h.config.Metrics.Retried(failed.Reason)
+	return true
+}
+
+// repeatable reports whether another send is safe and may help. Of nested calls only refusals are repeated, so that
+// one layer alone retries unclear failures.
+func repeatable(c *call, failed *failure.Error) bool {
+	switch failed.Reason {
+	case failure.Quarantined, failure.BadRequest, failure.WrongService, failure.DeadlineExceeded, failure.CallerGone,
+		failure.DuplicateAttempt, failure.BadKey, failure.KeyReused, failure.NoTarget:
+		return false
+	}
+	if failed.Outcome == failure.NotRun {
+		return true
+	}
+	return c.idempotent && c.depth == 0 && failed.Outcome == failure.Unknown
+}
+
+func asFailure(err error) *failure.Error {
+	if failed := failure.As(err); failed != nil {
+		return failed
+	}
+	return failure.Wrap(err, failure.NoTarget, failure.NotRun, "no target can be chosen")
+}
--- /dev/null
+++ b/internal/forward/usertimeout_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package forward
+
+import "syscall"
+
+func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
