--- /dev/null
+++ b/internal/platformtest/memory.go
@@ -0,0 +1,71 @@
+package platformtest
+
+import (
+	"context"
+
+	"github.com/acacialock/acacialock/internal/platform"
+)
+
+// Memory is the stand-in's table without HTTP and faults, for tests that run in one goroutine bubble. Safe for
+// concurrent use.
+type Memory struct{ store *store }
+
+// Memory implements Table; its object store implements Objects.
+var (
+	_ platform.Table   = (*Memory)(nil)
+	_ platform.Objects = (*MemoryObjects)(nil)
+)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory { return &Memory{store: newStore()} }
+
+// Objects returns the object store that belongs to the table.
+func (m *Memory) Objects() *MemoryObjects { return &MemoryObjects{store: m.store} }
+
+// Get implements platform.Table.
+func (m *Memory) Get(_ context.Context, key string) (platform.Row, error) {
+	row, ok := m.store.get(key)
+	if !ok {
+		return platform.Row{}, &platform.NotFoundError{Name: key}
+	}
+	return row, nil
+}
+
+// Scan implements platform.Table.
+func (m *Memory) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
+	return m.store.scan(prefix), nil
+}
+
+// Commit implements platform.Table.
+func (m *Memory) Commit(_ context.Context, writes []platform.Write) ([]uint64, error) {
+	decided, _ := m.store.commit(platform.NewWriteID(), writes)
+	if len(decided.conflict) > 0 {
+		return nil, &platform.ConflictError{Stored: decided.conflict}
+	}
+	return decided.versions, nil
+}
+
+// MemoryObjects is the object store of a Memory. Safe for concurrent use.
+type MemoryObjects struct{ store *store }
+
+// Put implements platform.Objects.
+func (m *MemoryObjects) Put(_ context.Context, name string, data []byte) error {
+	if !m.store.put(name, data) {
+		return &platform.ConflictError{}
+	}
+	return nil
+}
+
+// Get implements platform.Objects.
+func (m *MemoryObjects) Get(_ context.Context, name string) ([]byte, error) {
+	data, ok := m.store.object(name)
+	if !ok {
+		return nil, &platform.NotFoundError{Name: name}
+	}
+	return data, nil
+}
+
+// List implements platform.Objects.
+func (m *MemoryObjects) List(_ context.Context, prefix string) ([]string, error) {
+	return m.store.list(prefix), nil
+}
