--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -9,7 +9,6 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // Kind classifies a problem.
@@ -89,7 +88,7 @@
 		document.problems = append(document.problems, Problem{Kind: Syntax, Message: err.Error()})
 	}
 	if document.usable {
-		document.lines = keyLines(text)
+		document.index(text)
 	}
 	return document
 }
@@ -136,45 +135,3 @@
 	return 0
 }
 
-// keyLines returns the line of each table and key of a valid text.
-func keyLines(text []byte) map[string]int {
-	lines := map[string]int{}
-	var parser unstable.Parser
-	parser.Reset(text)
-	var table Key
-	for parser.NextExpression() {
-		node := parser.Expression()
-		key, line := keyOf(&parser, node)
-		switch node.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			table = key
-			setOnce(lines, table, line)
-		case unstable.KeyValue:
-			setOnce(lines, append(table[:len(table):len(table)], key...), line)
-		}
-	}
-	return lines
-}
-
-func setOnce(lines map[string]int, key Key, line int) {
-	if _, ok := lines[key.index()]; !ok {
-		lines[key.index()] = line
-	}
-}
-
-func keyOf(parser *unstable.Parser, node *unstable.Node) (Key, int) {
-	var key Key
-	line := 0
-	if node.Kind != unstable.Table && node.Kind != unstable.ArrayTable && node.Kind != unstable.KeyValue {
-		return nil, 0
-	}
-	parts := node.Key()
-	for parts.Next() {
-		part := parts.Node()
-		if line == 0 {
-			line = parser.Shape(part.Raw).Start.Line
-		}
-		key = append(key, string(part.Data))
-	}
-	return key, line
-}
