Add the operators' command

Apply accepts a list by compare-and-set on the current row, records it in the history in the same commit, and recognises its own commit there when the answer was lost. Objects alone can't serve as history, because the texts of refused proposals are stored too.

--- a/internal/cluster/rows.go
+++ b/internal/cluster/rows.go
@@ -1,5 +1,7 @@
 package cluster
 
+import "fmt"
+
 // Keys of the table's rows. Values are JSON.
 const (
 	CurrentListKey = "config/current"
@@ -8,8 +10,21 @@
 	RosterPrefix   = "roster/"
 	// ListObjectPrefix is followed by the version, in 20 decimal digits, and the write id of the accepted text.
 	ListObjectPrefix = "config/"
+	// ListHistoryPrefix is followed by the version in 20 decimal digits. The row has the same value as CurrentListKey had
+	// and is committed together with it, so an object without such a row was never accepted.
+	ListHistoryPrefix = "config/history/"
 )
 
+// ListObjectName is the name of the object that holds the text proposed as that version under that write id.
+func ListObjectName(version uint64, writeID string) string {
+	return fmt.Sprintf("%s%020d-%s", ListObjectPrefix, version, writeID)
+}
+
+// ListHistoryKey is the key of the row that records the acceptance of a version.
+func ListHistoryKey(version uint64) string {
+	return fmt.Sprintf("%s%020d", ListHistoryPrefix, version)
+}
+
 // LeaseKey is the key of a zone's lease row.
 func LeaseKey(zone string) string { return ZonePrefix + zone + "/lease" }
 
--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,214 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/servicelist"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Check   *fileArguments    `arg:"subcommand:check" help:"check a service list file; needs no platform"`
+	Apply   *applyArguments   `arg:"subcommand:apply" help:"get a service list file accepted and wait until it is in force"`
+	Get     *getArguments     `arg:"subcommand:get" help:"print the accepted service list"`
+	Diff    *fileArguments    `arg:"subcommand:diff" help:"show what a file would change in the accepted service list"`
+	History *historyArguments `arg:"subcommand:history" help:"list the accepted versions, newest first"`
+	Status  *statusArguments  `arg:"subcommand:status" help:"show zones, nodes, versions in force, drains and refusals"`
+
+	Platform string        `arg:"--platform,env:ACACIALOCK_PLATFORM" placeholder:"IP:PORT" help:"address of the platform"`
+	Output   outputFormat  `arg:"--output" default:"text" help:"text or json"`
+	Timeout  time.Duration `arg:"--timeout" default:"15s" help:"longest time for one operation at the store"`
+	Operator string        `arg:"--operator,env:USER" help:"name recorded with an accepted list"`
+}
+
+type fileArguments struct {
+	File string `arg:"positional,required" help:"service list in TOML"`
+}
+
+type applyArguments struct {
+	File   string        `arg:"positional,required" help:"service list in TOML"`
+	Expect *uint64       `arg:"--expect" placeholder:"VERSION" help:"version you last saw, 0 for none [default: the version at the start]"`
+	Wait   time.Duration `arg:"--wait" default:"30s" help:"longest wait for the version to be in force everywhere"`
+}
+
+type getArguments struct {
+	Version *uint64 `arg:"--version" placeholder:"VERSION" help:"an earlier accepted version [default: the current one]"`
+}
+
+type historyArguments struct {
+	Limit int `arg:"--limit" default:"20" help:"greatest number of versions listed"`
+}
+
+type statusArguments struct {
+	Observe time.Duration `arg:"--observe" default:"0s" help:"time over which leases are watched; zones not renewed for 10 s are shown as unreachable"`
+}
+
+// Description implements the help text of go-arg.
+func (arguments) Description() string {
+	return "Reads and replaces the service list of acacialock. Only apply changes anything."
+}
+
+// Epilogue implements the help text of go-arg.
+func (arguments) Epilogue() string {
+	return `Exit codes:
+  0  done
+  1  failed
+  2  wrong usage, or the file is not a valid service list
+  3  conflict: the service list changed since the version last seen; nothing was changed
+  4  accepted, but not yet known to be in force everywhere
+  5  the store is unavailable
+`
+}
+
+// outputFormat is "text" or "json".
+type outputFormat string
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *outputFormat) UnmarshalText(text []byte) error {
+	*f = outputFormat(text)
+	if *f != formatText && *f != formatJSON {
+		return &UsageError{Detail: fmt.Sprintf("output %q is not known: allowed are text and json", text)}
+	}
+	return nil
+}
+
+// Main runs the command with its arguments and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "acacialock"}, &parsed)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	err = parser.Parse(args)
+	if errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...) // the names come from the parser
+		return ExitOK
+	}
+	if err == nil && parser.Subcommand() == nil {
+		err = &UsageError{Detail: "a verb is required: check, apply, get, diff, history or status"}
+	}
+	if err != nil {
+		parser.WriteUsage(stderr)
+		fmt.Fprintln(stderr, "error:", err)
+		return ExitBadInput
+	}
+	printer := &printer{format: parsed.Output, stdout: stdout, stderr: stderr}
+	err = run(ctx, &parsed, printer)
+	if err != nil {
+		printer.failure(err)
+	}
+	return ExitCode(err)
+}
+
+func run(ctx context.Context, args *arguments, out *printer) error {
+	if args.Check != nil {
+		return check(args.Check.File, out)
+	}
+	if _, err := netip.ParseAddrPort(args.Platform); err != nil {
+		return &UsageError{Detail: fmt.Sprintf("platform %q is not an address: give IP:port with --platform or ACACIALOCK_PLATFORM", args.Platform)}
+	}
+	client := platform.NewClient(platform.Config{Addr: args.Platform, OperationTimeout: args.Timeout})
+	defer client.Close()
+	operator := &Operator{Table: client, Objects: client.Objects(), Name: args.Operator, Progress: out.progress}
+	switch {
+	case args.Apply != nil:
+		return apply(ctx, operator, args.Apply, out)
+	case args.Get != nil:
+		return get(ctx, operator, args.Get.Version, out)
+	case args.Diff != nil:
+		return diff(ctx, operator, args.Diff.File, out)
+	case args.History != nil:
+		return history(ctx, operator, args.History.Limit, out)
+	}
+	return status(ctx, operator, args.Status.Observe, out)
+}
+
+// readList returns the text of a valid service list.
+func readList(file string) (*servicelist.List, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &FileError{Cause: err}
+	}
+	return servicelist.Parse(text)
+}
+
+func check(file string, out *printer) error {
+	list, err := readList(file)
+	if err != nil {
+		return err
+	}
+	return out.result(checkResult{File: file, Services: len(list.Services)})
+}
+
+func apply(ctx context.Context, operator *Operator, args *applyArguments, out *printer) error {
+	list, err := readList(args.File)
+	if err != nil {
+		return err
+	}
+	applied, err := operator.Apply(ctx, list.Text, args.Expect)
+	if err != nil {
+		return err
+	}
+	result := applyResult{Version: applied.Row.Version, Unchanged: applied.Unchanged}
+	out.progress(result.accepted())
+	result.Zones, err = operator.AwaitInForce(ctx, applied.Row.Version, args.Wait)
+	if err != nil {
+		return err
+	}
+	return out.result(result)
+}
+
+func get(ctx context.Context, operator *Operator, version *uint64, out *printer) error {
+	var list List
+	var err error
+	if version != nil {
+		list, err = operator.Version(ctx, *version)
+	} else {
+		list, err = operator.Current(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if list.Row.Version == 0 {
+		return &NoListError{}
+	}
+	return out.result(getResult{ListRow: list.Row, Text: string(list.Text)})
+}
+
+func diff(ctx context.Context, operator *Operator, file string, out *printer) error {
+	list, err := readList(file)
+	if err != nil {
+		return err
+	}
+	current, err := operator.Current(ctx)
+	if err != nil {
+		return err
+	}
+	return out.result(diffResult{Version: current.Row.Version, Diff: Diff(current.Text, list.Text)})
+}
+
+func history(ctx context.Context, operator *Operator, limit int, out *printer) error {
+	rows, err := operator.History(ctx, limit)
+	if err != nil {
+		return err
+	}
+	return out.result(historyResult{Versions: rows})
+}
+
+func status(ctx context.Context, operator *Operator, observe time.Duration, out *printer) error {
+	state, err := operator.Status(ctx, observe)
+	if err != nil {
+		return err
+	}
+	return out.result(statusResult{Status: state})
+}
