--- /dev/null
+++ b/internal/balance/config.go
@@ -0,0 +1,89 @@
+package balance
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// ProbeFunc asks a member's node for its load sample. It must return when ctx ends.
+type ProbeFunc func(ctx context.Context, member cluster.Member) (wire.LoadSample, error)
+
+// Config sets up a Pool. Service and Self are required.
+type Config struct {
+	Service string
+	// Self gives the node's own zone and region.
+	Self cluster.Member
+	// Slots is the number of requests that a target serves at once; 0 means 9.
+	Slots int
+	// Probe is called on goroutines of its own; nil turns probes off.
+	Probe ProbeFunc
+	// Bytes is charged for probes before they are sent; nil means no limit.
+	Bytes *budget.Bytes
+	// LinkRoom reports whether the paid link has capacity for more calls; nil means that it always has.
+	LinkRoom func() bool
+	// ZoneDelay and RegionDelay are the one-way delays to another zone and another region; 0 means 1 ms and 30 ms.
+	ZoneDelay, RegionDelay time.Duration
+	// Seed makes the choices repeatable; 0 draws one.
+	Seed uint64
+	// Clock is for tests; nil means time.Now.
+	Clock func() time.Time
+	// Metrics receives the counters "balance.<service>.*"; nil means none.
+	Metrics *telemetry.Registry
+}
+
+const (
+	defaultSlots       = 9
+	defaultZoneDelay   = time.Millisecond
+	defaultRegionDelay = 30 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.ZoneDelay == 0 {
+		c.ZoneDelay = defaultZoneDelay
+	}
+	if c.RegionDelay == 0 {
+		c.RegionDelay = defaultRegionDelay
+	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Metrics == nil {
+		c.Metrics = telemetry.New()
+	}
+	if c.LinkRoom == nil {
+		c.LinkRoom = func() bool { return true }
+	}
+	return c
+}
+
+// distance is how far a member is from the node.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+)
+
+func (c *Config) distanceTo(member *cluster.Member) distance {
+	if member.Region != c.Self.Region {
+		return otherRegion
+	}
+	if member.Zone != c.Self.Zone {
+		return sameRegion
+	}
+	return sameZone
+}
+
+// roundTrip is the network time of a call to a member at that distance.
+func (c *Config) roundTrip(d distance) time.Duration {
+	return [...]time.Duration{0, 2 * c.ZoneDelay, 2 * c.RegionDelay}[d]
+}
--- /dev/null
+++ b/internal/balance/eject.go
@@ -0,0 +1,161 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// health is the node's own view of a member's answers.
+type health struct {
+	answers  int     // since the last reset, capped
+	latency  float64 // smoothed, in seconds, without the network
+	failures float64 // smoothed share of failed attempts
+}
+
+const (
+	// healthWeight is the weight of a new answer; the view follows about the last ten.
+	healthWeight = 0.1
+	// minAnswers are needed before a member is judged or serves as a comparison.
+	minAnswers = 10
+)
+
+func (h *health) answered(latency time.Duration) {
+	if h.answers == 0 {
+		h.latency = latency.Seconds()
+	}
+	h.answers++
+	h.latency += healthWeight * (latency.Seconds() - h.latency)
+	h.failures -= healthWeight * h.failures
+}
+
+func (h *health) failed() {
+	h.answers++
+	h.failures += healthWeight * (1 - h.failures)
+}
+
+// ejection keeps a member out of the choice for a time that grows when it is ejected again.
+type ejection struct {
+	ejected bool
+	until   time.Time // after it, one trial attempt at a time is admitted
+	trial   bool      // a trial is under way
+	length  time.Duration
+	endedAt time.Time // end of the last ejection
+}
+
+const (
+	minEjection = 500 * time.Millisecond
+	maxEjection = 30 * time.Second
+	// ejectionMemory is the time without ejection after which the length starts anew.
+	ejectionMemory = time.Minute
+	// ejectLatencyRatio and ejectFailures are compared with the median of the other members.
+	ejectLatencyRatio = 3.0
+	ejectFailures     = 0.4
+)
+
+// admits reports whether the member may be chosen.
+func (e *ejection) admits(now time.Time) bool {
+	if !e.ejected {
+		return true
+	}
+	return !e.trial && !now.Before(e.until)
+}
+
+func (e *ejection) begin(now time.Time) {
+	switch {
+	case e.length == 0 || (!e.ejected && now.Sub(e.endedAt) > ejectionMemory):
+		e.length = minEjection
+	default:
+		e.length = min(2*e.length, maxEjection)
+	}
+	e.ejected = true
+	e.trial = false
+	e.until = now.Add(e.length)
+}
+
+func (e *ejection) beginTrial(now time.Time) bool {
+	if !e.ejected || e.trial || now.Before(e.until) {
+		return false
+	}
+	e.trial = true
+	return true
+}
+
+func (e *ejection) end(now time.Time) {
+	e.ejected = false
+	e.trial = false
+	e.endedAt = now
+}
+
+// endTrial returns an ejected member to use when its trial answered about as fast as its peers.
+func (p *Pool) endTrial(of *peer, result Result, now time.Time) {
+	if !of.ejection.trial {
+		return
+	}
+	of.ejection.trial = false
+	switch result.Class {
+	case Cancelled, Refused:
+		return
+	case OK:
+		of.health = health{}
+		of.health.answered(p.serviceTime(of, result))
+		if !p.worse(of) {
+			of.ejection.end(now)
+			p.count("returned")
+			return
+		}
+	}
+	of.ejection.begin(now)
+	p.count("ejected-again")
+}
+
+// review ejects the member when it is much worse than its peers.
+func (p *Pool) review(of *peer, now time.Time) {
+	if of.ejection.ejected {
+		return
+	}
+	if of.health.answers < minAnswers || !p.worse(of) {
+		return
+	}
+	if 3*(p.ejected()+1) > len(p.peers) {
+		p.count("ejection-limit")
+		return
+	}
+	of.ejection.begin(now)
+	p.count("ejected")
+}
+
+// worse compares the member with the median of the other members that are in use.
+func (p *Pool) worse(of *peer) bool {
+	var latencies, failures []float64
+	for _, other := range p.peers {
+		if other != of && !other.ejection.ejected && other.health.answers >= minAnswers {
+			latencies = append(latencies, other.health.latency)
+			failures = append(failures, other.health.failures)
+		}
+	}
+	if len(latencies) == 0 {
+		return false
+	}
+	slow := of.health.latency > ejectLatencyRatio*median(latencies)
+	failing := of.health.failures > median(failures)+ejectFailures
+	return slow || failing
+}
+
+func (p *Pool) ejected() int {
+	count := 0
+	for _, member := range p.peers {
+		if member.ejection.ejected {
+			count++
+		}
+	}
+	return count
+}
+
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func (p *Pool) count(event string) {
+	p.config.Metrics.Counter("balance." + p.config.Service + "." + event).Inc(1)
+}
--- /dev/null
+++ b/internal/balance/pool.go
@@ -0,0 +1,175 @@
+package balance
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+)
+
+// Pool is the balancer that nodes use. It chooses by recent load samples, which come with answers and from
+// asynchronous probes. See the design, section 6.
+type Pool struct {
+	config Config
+
+	mu     sync.Mutex // held for one pass over the members at most
+	peers  []*peer    // replaced whole by Update, sorted by id
+	random *rand.Rand
+	first  bool // no member set has been installed yet
+
+	probes prober
+}
+
+// NewPool returns a pool without members. Close ends its probes.
+func NewPool(config Config) *Pool {
+	config = config.withDefaults()
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	pool := &Pool{config: config, first: true, random: rand.New(rand.NewPCG(config.Seed, 1))}
+	pool.probes.ctx, pool.probes.cancel = context.WithCancel(context.Background())
+	return pool
+}
+
+// Close cancels the probes under way and waits for them. Picks stay possible.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.probes.cancel()
+	p.mu.Unlock()
+	p.probes.running.Wait()
+}
+
+// Update implements Balancer.
+func (p *Pool) Update(members []cluster.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Clock()
+	known := make(map[string]*peer, len(p.peers))
+	for _, old := range p.peers {
+		known[old.member.ID] = old
+	}
+	next := make([]*peer, 0, len(members))
+	for _, member := range members {
+		next = append(next, p.updated(known[member.ID], member, now))
+	}
+	slices.SortFunc(next, func(a, b *peer) int { return compareIDs(a, b) })
+	p.peers = next
+	p.first = false
+}
+
+func (p *Pool) updated(old *peer, member cluster.Member, now time.Time) *peer {
+	if old == nil {
+		old = &peer{}
+		if !p.first {
+			old.start = slowStart{active: true, since: now}
+		}
+	}
+	old.member = member
+	old.distance = p.config.distanceTo(&member)
+	return old
+}
+
+func compareIDs(a, b *peer) int {
+	if a.member.ID < b.member.ID {
+		return -1
+	}
+	return 1
+}
+
+// Pick implements Balancer.
+func (p *Pool) Pick(request Request) (Pick, error) {
+	now := request.Now
+	if now.IsZero() {
+		now = p.config.Clock()
+	}
+	p.mu.Lock()
+	chosen := p.choose(&request, now)
+	members := len(p.peers)
+	var member cluster.Member
+	trial := false
+	if chosen != nil {
+		member = chosen.member
+		trial = chosen.sent(now)
+		p.creditStarts(chosen, now)
+	}
+	target := p.nextProbe(now)
+	p.mu.Unlock()
+	p.startProbe(target)
+	if chosen == nil {
+		return Pick{}, noTarget(p.config.Service, members)
+	}
+	return NewPick(member, p.doneOnce(chosen, trial)), nil
+}
+
+func (p *Pool) doneOnce(chosen *peer, trial bool) func(Result) {
+	ended := false // guarded by the pool's lock
+	return func(result Result) {
+		now := p.config.Clock()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if ended {
+			return
+		}
+		ended = true
+		chosen.inFlight--
+		p.record(chosen, result, now)
+		if trial {
+			p.endTrial(chosen, result, now)
+		}
+	}
+}
+
+// record applies a result to what is known about the member.
+func (p *Pool) record(of *peer, result Result, now time.Time) {
+	if result.Sample != nil {
+		at := result.SampleAt
+		if at.IsZero() {
+			at = now
+		}
+		of.observe(*result.Sample, at)
+	}
+	switch result.Class {
+	case OK:
+		of.avoidUntil = time.Time{}
+		of.health.answered(p.serviceTime(of, result))
+		p.review(of, now)
+	case Refused:
+		of.refused(result.Reason, now)
+	case Failed:
+		of.avoidUntil = now.Add(failureAvoidance)
+		of.health.failed()
+		p.review(of, now)
+	}
+}
+
+// serviceTime is the answer's latency without the network.
+func (p *Pool) serviceTime(of *peer, result Result) time.Duration {
+	return max(0, result.Latency-p.config.roundTrip(of.distance))
+}
+
+const (
+	// refusalAvoidance is about one service time: a full queue has room again after that.
+	refusalAvoidance = 20 * time.Millisecond
+	// failureAvoidance covers a reconnect and a few further tries before the ejection has evidence.
+	failureAvoidance = 200 * time.Millisecond
+	// goneAvoidance covers the time until the member set drops a restarted or unknown member.
+	goneAvoidance = 5 * time.Second
+)
+
+// refused avoids the member at once. Refusals that concern the request and not the target change nothing.
+func (p *peer) refused(reason failure.Reason, now time.Time) {
+	switch reason {
+	case failure.Draining:
+		p.draining = true
+	case failure.WrongIncarnation, failure.WrongService:
+		p.avoidUntil = now.Add(goneAvoidance)
+	case failure.TargetUnreachable, failure.ConnectionLimit:
+		p.avoidUntil = now.Add(failureAvoidance)
+	case failure.QueueFull, failure.DeadlineUnreachable, failure.LedgerFull:
+		p.avoidUntil = now.Add(refusalAvoidance)
+	}
+}
