--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/acacialock/acacialock/internal/control"
+)
+
+// status is the answer of /status.
+type status struct {
+	Control  control.Status
+	Draining bool
+}
+
+// adminHandler serves /metrics, /healthz, /readyz and /status.
+func (d *Daemon) adminHandler(opened *listeners) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.control.Status().Ready || opened.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(status{d.control.Status(), opened.draining.Load()}) // the client may have gone away
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,189 @@
+// Package daemon wires the roles of one node: control, entry, the target's side and key ownership.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/control"
+	"github.com/acacialock/acacialock/internal/entry"
+	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/inbound"
+	"github.com/acacialock/acacialock/internal/keys"
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/settings"
+	"github.com/acacialock/acacialock/internal/telemetry"
+)
+
+// lameDuck is the least time between the start of a drain and the end of the listeners. Nodes that missed the
+// announcement are still refused in that time instead of finding a closed connection.
+const lameDuck = 3 * time.Second
+
+// leaveTimeout bounds the handover of keys and the departure from the membership.
+const leaveTimeout = 15 * time.Second
+
+// Daemon is one node.
+type Daemon struct {
+	settings  *settings.Settings
+	self      cluster.Member
+	view      *cluster.View
+	metrics   *telemetry.Registry
+	peers     *peerClients
+	control   *control.Node
+	keys      *keys.Service
+	inbound   *inbound.Handler
+	entry     *entry.Handler
+	policies  *entry.Policies
+	transport *forward.Transport
+	listeners *listeners
+}
+
+// New builds a node and opens its listeners.
+func New(set *settings.Settings) (*Daemon, error) {
+	d := &Daemon{settings: set, self: newSelf(set), metrics: telemetry.New(), peers: newPeerClients()}
+	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
+	client := platform.NewClient(platform.Config{
+		Addr:             set.PlatformAddr,
+		TryTimeout:       set.PlatformTryTimeout,
+		OperationTimeout: set.PlatformOperationTimeout,
+		Metrics:          d.metrics,
+	})
+	for _, build := range []func(*platform.Client) error{d.newTargetSide, d.newControl, d.newEntry} {
+		if err := build(client); err != nil {
+			return nil, err
+		}
+	}
+	opened, err := d.listen()
+	if err != nil {
+		return nil, eris.Wrap(err, "open listeners")
+	}
+	d.listeners = opened
+	return d, nil
+}
+
+// newSelf gives the node a new incarnation.
+func newSelf(set *settings.Settings) cluster.Member {
+	var incarnation [4]byte
+	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never fails
+	return cluster.Member{
+		ID:       set.Name + "@" + hex.EncodeToString(incarnation[:]),
+		Service:  set.Service,
+		Zone:     set.Zone,
+		Region:   set.Region,
+		PeerAddr: set.PeerAddr,
+	}
+}
+
+func (d *Daemon) newControl(client *platform.Client) error {
+	node, err := control.New(control.Config{
+		Self:            d.self,
+		Seeds:           d.settings.Seeds,
+		EntryServices:   d.settings.EntryServices,
+		Table:           client,
+		Objects:         client,
+		ParseList:       servicelist.Parse,
+		Client:          d.peers.control,
+		View:            d.view,
+		Metrics:         d.metrics,
+		OnRosterVersion: d.keys.ConfirmRoster,
+		Refusals:        d.refusals,
+		Seed:            randomSeed(),
+	})
+	d.control = node
+	return err
+}
+
+func (d *Daemon) newEntry(client *platform.Client) error {
+	d.transport = forward.New(forward.Config{Metrics: d.metrics})
+	d.policies = entry.NewPolicies(entry.PoliciesConfig{
+		Self:      d.self,
+		Probe:     d.peers.probe,
+		Bytes:     budget.NewBytes(budget.Limits{}, nil),
+		Transport: d.transport,
+		Metrics:   d.metrics,
+	})
+	d.entry = entry.New(entry.Config{
+		View:      d.view,
+		Transport: d.transport,
+		Policies:  d.policies,
+		Attempts:  d.peers.attemptsOnNewConnection,
+		Keys:      d.newKeysClient(client),
+		Metrics:   d.metrics,
+	})
+	return nil
+}
+
+// Run serves until ctx ends, then drains and leaves. It returns nil after a complete drain.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, running := errgroup.WithContext(background)
+	group.Go(func() error { return d.control.Run(running) })
+	group.Go(func() error { return d.keys.Run(running) })
+	d.listeners.serve(group)
+	klog.Infof("node %s serves service %s: entry %s, peers %s, admin %s", d.self.ID, d.self.Service,
+		d.settings.EntryAddr, d.settings.PeerAddr, d.settings.AdminAddr)
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		d.close()
+		return group.Wait()
+	}
+	drained := d.drain()
+	stop()
+	d.close()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return drained
+}
+
+// drain refuses new work, finishes what is in flight, hands keys over and leaves.
+func (d *Daemon) drain() error {
+	klog.Infof("node %s drains", d.self.ID)
+	started := time.Now()
+	d.listeners.drainEntry()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	defer cancel()
+	go d.control.SetDraining()
+	drained := d.inbound.Drain(ctx)
+	leaving, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancelLeave()
+	if err := d.keys.Leave(leaving); err != nil {
+		klog.Warningf("node %s left without handing over all keys: %v", d.self.ID, err)
+	}
+	if err := d.control.Leave(leaving); err != nil {
+		klog.Warningf("node %s left without telling a leader: %v", d.self.ID, err)
+	}
+	time.Sleep(lameDuck - time.Since(started))
+	if err := d.listeners.shutdown(ctx); err != nil {
+		return eris.Wrap(err, "requests were still in flight at the drain timeout")
+	}
+	return eris.Wrap(drained, "requests were still in flight at the drain timeout")
+}
+
+func (d *Daemon) close() {
+	d.listeners.close()
+	d.policies.Close()
+	d.transport.Close()
+	d.peers.close()
+}
+
+// refusals is the total of refusals since the start, for the heartbeat.
+func (d *Daemon) refusals() uint64 { return uint64(d.metrics.Sum("refusal.")) }
+
+func randomSeed() uint64 {
+	var seed [8]byte
+	_, _ = rand.Read(seed[:]) // crypto/rand.Read never fails
+	return binary.LittleEndian.Uint64(seed[:])
+}
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,143 @@
+// Package e2e proves the whole path under failures with separate processes on loopback.
+package e2e
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acacialock/acacialock/internal/testcluster"
+)
+
+var errConnRefused = syscall.ECONNREFUSED
+
+const (
+	readyLimit = 60 * time.Second
+	drainLimit = 60 * time.Second
+)
+
+const noFaults = `{"writes_per_second": 400, "reads_per_second": 2000}`
+
+const storefrontList = `[services.storefront]
+home_region = "sanjose"
+timeout = "3s"
+depends_on = ["inventory"]
+
+[services.inventory]
+home_region = "sanjose"
+timeout = "3s"
+`
+
+// newCluster starts nodes of the storefront at the places and waits until all are ready.
+func newCluster(t *testing.T, places ...testcluster.Place) *testcluster.Cluster {
+	t.Helper()
+	cluster, err := testcluster.Start(testcluster.Config{Dir: t.TempDir(), Race: raceEnabled, Show: nil})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		cluster.Stop(false)
+		if t.Failed() {
+			for _, node := range cluster.Nodes {
+				t.Logf("output of %s:\n%s", node.Name, node.Daemon.Output())
+			}
+		}
+	})
+	for _, place := range places {
+		_, err := cluster.Add(place)
+		assert.NilError(t, err)
+	}
+	out, code := cluster.Apply(storefrontList)
+	assert.Equal(t, code, 0, out)
+	assert.NilError(t, cluster.WaitReady(readyLimit))
+	return cluster
+}
+
+// storefronts returns n places of the storefront in two zones of the home region.
+func storefronts(n int) []testcluster.Place {
+	places := make([]testcluster.Place, n)
+	for i := range places {
+		zone := []string{"sj-a", "sj-b"}[i%2]
+		places[i] = testcluster.Place{Service: "storefront", Region: "sanjose", Zone: zone, ServiceTime: 5 * time.Millisecond}
+	}
+	return places
+}
+
+// entriesOf returns the entry addresses of nodes.
+func entriesOf(nodes ...*testcluster.Node) func() []string {
+	var addrs []string
+	for _, node := range nodes {
+		addrs = append(addrs, node.EntryAddr)
+	}
+	return func() []string { return addrs }
+}
+
+// get sends one GET and returns status, headers and body.
+func get(t *testing.T, entry, host, path string) (int, http.Header, string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+entry+path, nil)
+	assert.NilError(t, err)
+	request.Host = host
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, response.Header, string(body)
+}
+
+// untilServed waits until the entry answers for the service.
+func untilServed(t *testing.T, entry, host string) {
+	t.Helper()
+	err := testcluster.WaitFor(readyLimit, "an answer of "+host, func() bool {
+		status, _, _ := get(t, entry, host, "/")
+		return status == http.StatusOK
+	})
+	assert.NilError(t, err)
+}
+
+// untilKeyed waits until keyed calls are admitted, which needs the roster to be activated.
+func untilKeyed(t *testing.T, entry string) {
+	t.Helper()
+	err := testcluster.WaitFor(readyLimit, "a keyed call", func() bool {
+		one := &order{id: "warm-" + time.Now().Format("150405.000000"), notRun: true}
+		l := &load{t: t, client: &http.Client{Timeout: callTimeout}, keyed: true}
+		l.try(one, entry)
+		return one.answered
+	})
+	assert.NilError(t, err)
+}
+
+func metric(t *testing.T, node *testcluster.Node, name string) string {
+	t.Helper()
+	response, err := http.Get("http://" + node.AdminAddr + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
+// faults sets the stand-in's faults; noFaults clears them.
+func faults(t *testing.T, cluster *testcluster.Cluster, body string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+cluster.PlatformAddr+"/admin/faults", strings.NewReader(body))
+	assert.NilError(t, err)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode/100, 2)
+}
+
+func TestMain(m *testing.M) { os.Exit(m.Run()) }
--- /dev/null
+++ b/internal/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+const raceEnabled = false
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -41,6 +41,7 @@
 	if snapshot.List == nil {
 		return nil, failure.New(failure.NoServiceList, failure.NotRun, "the node knows no accepted service list yet")
 	}
+	h.config.Policies.Update(snapshot)
 	name := serviceName(request.Host)
 	service := snapshot.Service(name)
 	if service == nil {
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -2,10 +2,12 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/acacialock/acacialock/internal/balance"
 	"github.com/acacialock/acacialock/internal/budget"
 	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/forward"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
@@ -16,17 +18,19 @@
 	// Probe asks a node for its load; see balance.Config.
 	Probe balance.ProbeFunc
 	// Bytes is the node's budget of measuring and control bytes.
-	Bytes   *budget.Bytes
-	Metrics *telemetry.Registry
+	Bytes *budget.Bytes
+	// Transport drops its connections to nodes that left.
+	Transport *forward.Transport
+	Metrics   *telemetry.Registry
 }
 
 // Policies holds a balancer, a retry budget and a hedge budget for each service that the node reaches. Safe for
 // concurrent use.
 type Policies struct {
 	config PoliciesConfig
+	seen   atomic.Pointer[cluster.Snapshot]
 	mu     sync.RWMutex
 	byName map[string]*Policy
-	latest *cluster.Snapshot
 }
 
 // Policy is what an entry node decides a service's sends by.
@@ -36,17 +40,21 @@
 	hedge    *budget.Ratio
 }
 
-// NewPolicies returns an empty set; Update fills it.
+// NewPolicies returns an empty set.
 func NewPolicies(config PoliciesConfig) *Policies {
-	return &Policies{config: config, byName: map[string]*Policy{}, latest: &cluster.Snapshot{}}
+	policies := &Policies{config: config, byName: map[string]*Policy{}}
+	policies.seen.Store(&cluster.Snapshot{})
+	return policies
 }
 
-// Update takes over a new snapshot: members, budgets and services that went away.
+// Update takes over a snapshot that differs from the last one seen: members, budgets, and services that went away.
 func (p *Policies) Update(snapshot *cluster.Snapshot) {
+	if p.seen.Load() == snapshot {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.latest = snapshot
-	if snapshot.List == nil {
+	if p.seen.Swap(snapshot) == snapshot || snapshot.List == nil {
 		return
 	}
 	p.config.Bytes.SetLimits(budget.Limits(snapshot.List.Measuring))
@@ -61,6 +69,17 @@
 		policy.hedge.SetPercent(service.Retry.HedgePercent)
 		policy.balancer.Update(snapshot.Members[name])
 	}
+	p.config.Transport.Forget(peerAddrs(snapshot))
+}
+
+func peerAddrs(snapshot *cluster.Snapshot) map[string]bool {
+	addrs := map[string]bool{}
+	for _, members := range snapshot.Members {
+		for _, member := range members {
+			addrs[member.PeerAddr] = true
+		}
+	}
+	return addrs
 }
 
 // For returns the policy of a service, made on first use.
@@ -90,7 +109,7 @@
 		Bytes:   p.config.Bytes,
 		Metrics: p.config.Metrics,
 	})
-	pool.Update(p.latest.Members[service.Name])
+	pool.Update(p.seen.Load().Members[service.Name])
 	return &Policy{
 		balancer: pool,
 		retry:    budget.NewRatio(service.Retry.BudgetPercent, nil),
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -52,6 +52,17 @@
 	return values
 }
 
+// Sum adds up the counters whose name starts with prefix.
+func (r *Registry) Sum(prefix string) int64 {
+	var sum int64
+	for name, value := range r.Values() {
+		if strings.HasPrefix(name, prefix) {
+			sum += value
+		}
+	}
+	return sum
+}
+
 // ServeHTTP writes one "name value" line for each metric, sorted by name.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	values := r.Values()
--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -134,4 +134,3 @@
 	}
 	return 0
 }
-
