--- a/internal/cluster/rows.go
+++ b/internal/cluster/rows.go
@@ -4,7 +4,8 @@
 const (
 	CurrentListKey = "config/current"
 	RosterIndexKey = "roster-index"
-	ZonePrefix     = "zone/"
+	ZonePrefix     = "zone/"    // lease rows only, because leaders scan it each second
+	MembersPrefix  = "members/" // members rows
 	RosterPrefix   = "roster/"
 	// ListObjectPrefix is followed by the version, in 20 decimal digits, and the write id of the accepted text.
 	ListObjectPrefix = "config/"
@@ -14,7 +15,7 @@
 func LeaseKey(zone string) string { return ZonePrefix + zone + "/lease" }
 
 // MembersKey is the key of a zone's members row.
-func MembersKey(zone string) string { return ZonePrefix + zone + "/members" }
+func MembersKey(zone string) string { return MembersPrefix + zone }
 
 // RosterKey is the key of a service's roster row.
 func RosterKey(service string) string { return RosterPrefix + service }
