Add the target's side of a call: admission, ledger, quarantine, handler

The protocol gains Quarantine.Permit and the fields Suspect.origin and Suspect.cleared; wire gains CallFingerprint, the digest that entry node and runner must agree on, and the header TargetDraining.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,265 @@
+// Package admission grants the slots of the local target. A short queue in order of arrival holds requests while no slot
+// is free; requests whose deadline can't be met are refused before they are queued, or dropped from the queue.
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// Defaults for limits that are zero.
+const (
+	DefaultSlots = 9
+	DefaultQueue = 9
+)
+
+// AloneWait bounds the time that a request waits to run alone, and with it the time in which it holds up others.
+const AloneWait = time.Second
+
+// drainGrace is the time in which queued requests may still start after a drain began. A target that is being returned
+// must get no new work after 2 s.
+const drainGrace = time.Second
+
+// Limits bound the requests at the target and in the queue.
+type Limits struct {
+	Slots int // requests at the target at once
+	Queue int // requests waiting for a slot
+}
+
+// Gate grants slots. Safe for concurrent use.
+type Gate struct {
+	mu       sync.Mutex
+	limits   Limits
+	inFlight int
+	alone    bool // the request in flight runs alone
+	aloneHas bool // a request runs alone or waits to
+	queue    []*waiter
+	times    estimator
+	draining bool
+	idle     chan struct{} // closed when nothing is in flight or queued; nil when nobody waits
+}
+
+// waiter is a queued request. Its fields are guarded by the gate's mutex.
+type waiter struct {
+	alone    bool
+	deadline time.Time
+	verdict  chan verdict // holds one value
+}
+
+// verdict ends the wait of a queued request.
+type verdict struct {
+	slot    *Slot
+	refused *failure.Error
+}
+
+// Slot is a granted slot. It must be released once.
+type Slot struct {
+	gate    *Gate
+	alone   bool
+	load    int // requests at the target including this one, at the start
+	started time.Time
+}
+
+// New returns a gate; limits that are zero take their defaults.
+func New(limits Limits) *Gate {
+	return &Gate{limits: withDefaults(limits)}
+}
+
+func withDefaults(limits Limits) Limits {
+	if limits.Slots <= 0 {
+		limits.Slots = DefaultSlots
+	}
+	if limits.Queue < 0 {
+		limits.Queue = 0
+	}
+	return limits
+}
+
+// SetLimits changes the limits. Requests in flight or queued beyond lower limits are not cut off.
+func (g *Gate) SetLimits(limits Limits) {
+	limits = withDefaults(limits)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if limits == g.limits {
+		return
+	}
+	g.limits = limits
+	g.grant()
+}
+
+// Acquire waits for a slot until the deadline can no longer be met. The error's outcome is always not-run; its reason is
+// draining, queue-full, deadline-unreachable, deadline-exceeded or caller-gone.
+func (g *Gate) Acquire(ctx context.Context, deadline time.Time) (*Slot, *failure.Error) {
+	return g.acquire(ctx, deadline, false)
+}
+
+// AcquireAlone waits at most AloneWait for a slot with no other request at the target. Requests that arrive later wait
+// behind it; a second request that must run alone is refused while one waits or runs.
+func (g *Gate) AcquireAlone(ctx context.Context, deadline time.Time) (*Slot, *failure.Error) {
+	return g.acquire(ctx, deadline, true)
+}
+
+func (g *Gate) acquire(ctx context.Context, deadline time.Time, alone bool) (*Slot, *failure.Error) {
+	now := time.Now()
+	g.mu.Lock()
+	if refused := g.refuse(now, deadline, alone); refused != nil {
+		g.mu.Unlock()
+		return nil, refused
+	}
+	g.aloneHas = g.aloneHas || alone
+	if len(g.queue) == 0 && g.free(alone) {
+		slot := g.start(alone, now)
+		g.mu.Unlock()
+		return slot, nil
+	}
+	w := &waiter{alone: alone, deadline: deadline, verdict: make(chan verdict, 1)}
+	g.queue = append(g.queue, w)
+	patience := g.patience(now, w)
+	g.mu.Unlock()
+	return g.wait(ctx, w, patience)
+}
+
+// refuse tells why a request can't be queued or started.
+func (g *Gate) refuse(now, deadline time.Time, alone bool) *failure.Error {
+	left := deadline.Sub(now)
+	switch {
+	case g.draining:
+		return failure.New(failure.Draining, failure.NotRun, "the target is draining")
+	case left <= 0:
+		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the deadline has passed")
+	case alone && g.aloneHas:
+		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
+	case len(g.queue) == 0 && g.free(alone):
+		return nil
+	case len(g.queue) >= g.limits.Queue && !alone:
+		return failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(g.queue))
+	}
+	if need := g.expected(len(g.queue)); left < need {
+		return failure.New(failure.DeadlineUnreachable, failure.NotRun, "%v are left, %v are needed", left, need)
+	}
+	return nil
+}
+
+// free reports whether a request may start now.
+func (g *Gate) free(alone bool) bool {
+	if alone {
+		return g.inFlight == 0
+	}
+	return !g.alone && g.inFlight < g.limits.Slots
+}
+
+// expected is the estimated time to the answer's end for a request behind the given number of queued ones.
+func (g *Gate) expected(ahead int) time.Duration {
+	typical := g.times.at(g.limits.Slots)
+	return typical + typical*time.Duration(ahead+1)/time.Duration(g.limits.Slots)
+}
+
+// patience is the time after which a queued request can no longer be answered in time.
+func (g *Gate) patience(now time.Time, w *waiter) time.Duration {
+	left := w.deadline.Sub(now) - g.times.at(g.limits.Slots)
+	if w.alone {
+		left = min(left, AloneWait)
+	}
+	return left
+}
+
+func (g *Gate) start(alone bool, now time.Time) *Slot {
+	g.inFlight++
+	g.alone = alone
+	return &Slot{gate: g, alone: alone, load: g.inFlight, started: now}
+}
+
+// wait blocks until the waiter gets a slot, runs out of patience or is dropped.
+func (g *Gate) wait(ctx context.Context, w *waiter, patience time.Duration) (*Slot, *failure.Error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	var refused *failure.Error
+	select {
+	case v := <-w.verdict:
+		return v.slot, v.refused
+	case <-timer.C:
+		refused = unreachable()
+	case <-ctx.Done():
+		refused = failure.Wrap(ctx.Err(), failure.CallerGone, failure.NotRun, "the caller left the queue")
+	}
+	if g.leave(w) {
+		return nil, refused
+	}
+	v := <-w.verdict
+	return v.slot, v.refused
+}
+
+func unreachable() *failure.Error {
+	return failure.New(failure.DeadlineUnreachable, failure.NotRun, "no slot became free in time")
+}
+
+// leave takes the waiter out of the queue; false when it was granted or dropped before.
+func (g *Gate) leave(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, queued := range g.queue {
+		if queued != w {
+			continue
+		}
+		g.queue = append(g.queue[:i], g.queue[i+1:]...)
+		g.aloneHas = g.aloneHas && !w.alone
+		g.grant()
+		return true
+	}
+	return false
+}
+
+// grant starts queued requests in order of arrival while slots are free, and drops those that are too late.
+func (g *Gate) grant() {
+	now := time.Now()
+	for len(g.queue) > 0 && g.free(g.queue[0].alone) {
+		w := g.queue[0]
+		g.queue[0] = nil
+		g.queue = g.queue[1:]
+		w.verdict <- g.decide(w, now)
+	}
+	if g.idle != nil && g.inFlight == 0 && len(g.queue) == 0 {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+// decide starts a request that came to its turn, unless its deadline became unreachable meanwhile.
+func (g *Gate) decide(w *waiter, now time.Time) verdict {
+	if w.deadline.Sub(now) < g.times.at(g.limits.Slots) {
+		g.aloneHas = g.aloneHas && !w.alone
+		return verdict{refused: unreachable()}
+	}
+	return verdict{slot: g.start(w.alone, now)}
+}
+
+// Release gives the slot back. A completed request adds to the estimate of service times.
+func (s *Slot) Release(completed bool) {
+	g := s.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if s.alone {
+		g.alone = false
+		g.aloneHas = false
+	}
+	if completed {
+		g.times.record(s.load, time.Since(s.started))
+	}
+	g.grant()
+}
+
+// Sample returns the current load.
+func (g *Gate) Sample() wire.LoadSample {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	latency := g.times.at(g.inFlight + 1)
+	if g.inFlight >= g.limits.Slots || len(g.queue) > 0 {
+		latency = g.expected(len(g.queue))
+	}
+	return wire.LoadSample{InFlight: g.inFlight, Queued: len(g.queue), Latency: latency, Draining: g.draining}
+}
--- /dev/null
+++ b/internal/admission/drain.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/failure"
+)
+
+// Drain refuses new requests at once and returns when nothing is in flight or queued, or with the context's error.
+// Queued requests may start for one more second, then they are refused. A drain can't be undone.
+func (g *Gate) Drain(ctx context.Context) error {
+	grace := time.AfterFunc(drainGrace, g.dropQueue)
+	defer grace.Stop()
+	idle := g.beginDrain()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		g.dropQueue()
+		return ctx.Err()
+	}
+}
+
+// beginDrain returns a channel that is closed when nothing is in flight or queued.
+func (g *Gate) beginDrain() chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	idle := g.idle
+	if idle == nil {
+		idle = make(chan struct{})
+		g.idle = idle
+	}
+	g.grant() // closes idle when nothing is left
+	return idle
+}
+
+// dropQueue refuses what is queued.
+func (g *Gate) dropQueue() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refused := failure.New(failure.Draining, failure.NotRun, "the target is draining")
+	for _, w := range g.queue {
+		g.aloneHas = g.aloneHas && !w.alone
+		w.verdict <- verdict{refused: refused}
+	}
+	g.queue = nil
+	g.grant()
+}
--- /dev/null
+++ b/internal/inbound/body.go
@@ -0,0 +1,124 @@
+package inbound
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/quarantine"
+)
+
+// errBodyClosed is returned to the transport when the exchange ended before the request's body.
+var errBodyClosed = errors.New("the exchange ended before the request's body")
+
+// requestBody is the body of a forwarded request. Because it is no type that net/http knows and has no GetBody, net/http
+// never sends the request a second time.
+type requestBody struct {
+	source   io.Reader
+	digest   *quarantine.Digest
+	length   int64 // as in http.Request.ContentLength
+	control  *http.ResponseController
+	deadline time.Time
+	closed   atomic.Bool
+
+	mu      sync.Mutex // held during a read
+	prefix  []byte     // the start of the body, when it was read for a verdict
+	started bool       // prefix was read
+	replay  []byte     // the part of prefix that the target did not get yet
+	err     error      // how the source ended
+}
+
+// Read implements io.Reader for the transport.
+func (b *requestBody) Read(into []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed.Load() {
+		return 0, errBodyClosed
+	}
+	if len(b.replay) > 0 {
+		n := copy(into, b.replay)
+		b.replay = b.replay[n:]
+		return n, nil
+	}
+	return b.read(into)
+}
+
+func (b *requestBody) read(into []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(into)
+	b.digest.Write(into[:n])
+	b.err = err
+	if err == io.EOF {
+		b.digest.End()
+	}
+	return n, err
+}
+
+// Close implements io.Closer for the transport.
+func (b *requestBody) Close() error {
+	b.closed.Store(true)
+	return nil
+}
+
+// Prefix implements quarantine.Body. It is called before the request is sent.
+func (b *requestBody) Prefix() ([]byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.started {
+		return b.prefix, b.brokeOff()
+	}
+	b.started = true
+	if b.length == 0 {
+		return nil, nil
+	}
+	_ = b.control.SetReadDeadline(b.deadline)
+	defer func() { _ = b.control.SetReadDeadline(time.Time{}) }()
+	buffer := make([]byte, quarantine.MaxBody)
+	size := 0
+	for size < len(buffer) && b.err == nil {
+		n, _ := b.read(buffer[size:])
+		size += n
+	}
+	b.prefix = buffer[:size]
+	b.replay = b.prefix
+	return b.prefix, b.brokeOff()
+}
+
+// failed returns the error by which the caller's side ended the body, or nil.
+func (b *requestBody) failed() error {
+	if !b.mu.TryLock() {
+		return nil // a read is still waiting
+	}
+	defer b.mu.Unlock()
+	return b.brokeOff()
+}
+
+// brokeOff returns the error of the source, or nil when it ended or goes on. The mutex is held.
+func (b *requestBody) brokeOff() error {
+	if b.err == io.EOF {
+		return nil
+	}
+	return b.err
+}
+
+// finish ends the reads, so that none runs after the handler returned. A read that waits for the caller is interrupted
+// by a deadline in the past, after which the server closes the connection.
+func (b *requestBody) finish() {
+	b.closed.Store(true)
+	if !b.mu.TryLock() {
+		_ = b.control.SetReadDeadline(time.Unix(1, 0))
+		b.mu.Lock()
+	}
+	b.mu.Unlock()
+}
+
+// emptyBody makes net/http take a request without a body for one that can't be sent again.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
--- /dev/null
+++ b/internal/inbound/exchange.go
@@ -0,0 +1,236 @@
+package inbound
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/admission"
+	"github.com/acacialock/acacialock/internal/attempt"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/quarantine"
+)
+
+// exchange is one request on its way through the node.
+type exchange struct {
+	handler  *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	in       *incoming
+	attempt  *attempt.Attempt
+	digest   *quarantine.Digest
+	body     *requestBody
+	pass     *quarantine.Pass
+	slot     *admission.Slot
+	watch    *quarantine.Run
+	notAfter time.Time
+	complete bool // the target's answer was read to its end
+
+	mu       sync.Mutex
+	answered bool // the final header was written, no informational one may follow
+	conn     *quarantine.Conn
+	use      uint64 // of conn
+	written  int64  // on conn when the request got it
+	sent     bool   // bytes of the request were written to a connection that it had before
+}
+
+func newExchange(
+	h *Handler, w http.ResponseWriter, r *http.Request, in *incoming, recorded *attempt.Attempt,
+) *exchange {
+	digest := quarantine.NewDigest(h.config.Self.Service, r.Method, in.url.RequestURI())
+	if r.ContentLength == 0 {
+		digest.End()
+	}
+	return &exchange{
+		handler: h,
+		w:       w,
+		r:       r,
+		in:      in,
+		attempt: recorded,
+		digest:  digest,
+		body: &requestBody{
+			source:   r.Body,
+			digest:   digest,
+			length:   r.ContentLength,
+			control:  http.NewResponseController(w),
+			deadline: in.deadline,
+		},
+	}
+}
+
+// run returns a failure that is to be answered, or nil when an answer was sent.
+func (e *exchange) run() *failure.Error {
+	defer e.body.finish()
+	defer e.leave()
+	if refused := e.admit(); refused != nil {
+		e.attempt.Refuse()
+		return refused
+	}
+	defer e.attempt.Broken() // counts only when nothing else was recorded
+	ctx, cancel := e.targetContext()
+	defer cancel()
+	return e.forward(ctx)
+}
+
+// admit takes the request through quarantine, key gate and admission to the moment of dispatch.
+func (e *exchange) admit() *failure.Error {
+	ctx, cancel := context.WithDeadline(e.r.Context(), e.in.deadline)
+	defer cancel()
+	for {
+		pass, refused := e.handler.guard.Judge(ctx, e.in.deadline, e.digest, e.body)
+		if refused != nil {
+			return refused
+		}
+		e.pass = pass
+		if refused := e.checkKey(); refused != nil {
+			return refused
+		}
+		if refused := e.acquire(ctx); refused != nil {
+			return refused
+		}
+		if e.pass.Current(e.digest, e.body) {
+			break
+		}
+		e.leave() // another crash was shared while the request waited
+	}
+	if refused := e.checkKey(); refused != nil {
+		return refused
+	}
+	return e.attempt.Dispatch()
+}
+
+func (e *exchange) acquire(ctx context.Context) *failure.Error {
+	var refused *failure.Error
+	if e.pass.Alone() {
+		e.slot, refused = e.handler.gate.AcquireAlone(ctx, e.in.deadline)
+	} else {
+		e.slot, refused = e.handler.gate.Acquire(ctx, e.in.deadline)
+	}
+	return refused
+}
+
+// checkKey asks the gate about a keyed attempt.
+func (e *exchange) checkKey() *failure.Error {
+	keyed := e.in.call.Keyed
+	if keyed == nil {
+		return nil
+	}
+	if e.handler.config.Gate == nil {
+		return notRun(failure.KeyOwnerNotReady, "this node runs no keyed attempts")
+	}
+	notAfter, refused := e.handler.config.Gate.Check(
+		e.handler.config.Self.Service, keyed.Key, keyed.Owner, keyed.RosterVersion)
+	e.notAfter = notAfter
+	return refused
+}
+
+// leave gives back what the request holds.
+func (e *exchange) leave() {
+	ctx := context.WithoutCancel(e.r.Context())
+	if e.watch != nil {
+		e.watch.End(ctx, e.complete)
+		e.watch = nil
+	}
+	if e.slot != nil {
+		e.slot.Release(e.complete)
+		e.slot = nil
+	}
+	if e.pass != nil {
+		e.pass.Leave(ctx)
+		e.pass = nil
+	}
+}
+
+// targetContext ends at the deadline, and for idempotent requests also when the caller leaves. Others go on to their
+// end, since cancelling them would leave their outcome unknown.
+func (e *exchange) targetContext() (context.Context, context.CancelFunc) {
+	ctx := e.r.Context()
+	if !e.in.call.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, e.in.deadline)
+}
+
+// forward sends the request to the target and its answer to the caller.
+func (e *exchange) forward(ctx context.Context) *failure.Error {
+	e.watch = e.handler.guard.Begin(e.pass, e.digest)
+	request := e.targetRequest(httptrace.WithClientTrace(ctx, e.trace()))
+	answer, err := e.handler.target.Load().transport.RoundTrip(request)
+	if err != nil {
+		return e.failedBeforeAnswer(ctx, err)
+	}
+	defer answer.Body.Close()
+	e.answer(ctx, answer)
+	return nil
+}
+
+// targetRequest is the request for the target. It is built so that net/http never sends a non-idempotent one twice.
+func (e *exchange) targetRequest(ctx context.Context) *http.Request {
+	url := *e.in.url
+	url.Scheme = "http"
+	url.Host = e.handler.config.TargetAddr
+	request := &http.Request{
+		Method:        e.r.Method,
+		URL:           &url,
+		Host:          e.r.Host,
+		Header:        targetHeader(e.r.Header, e.in.deadline, e.notAfter),
+		ContentLength: e.r.ContentLength,
+		Trailer:       e.r.Trailer, // the server fills it at the body's end
+		Body:          e.body,
+	}
+	if e.r.ContentLength == 0 {
+		request.Body = http.NoBody
+		if !e.in.call.Idempotent {
+			withoutReplay(request)
+		}
+	}
+	return request.WithContext(ctx)
+}
+
+// withoutReplay marks a request that has no body so that net/http does not send it again. A body of unknown length
+// would be sent as chunked but for methods that usually lack one.
+func withoutReplay(request *http.Request) {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		request.Body = emptyBody{}
+	default:
+		spellKeys(request.Header)
+	}
+}
+
+// trace follows the request's connections and passes informational answers on.
+func (e *exchange) trace() *httptrace.ClientTrace {
+	watch := e.watch
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			watch.Sent()
+			e.gotConn(info.Conn.(*quarantine.Conn))
+		},
+		PutIdleConn:    e.putConn,
+		Got1xxResponse: e.inform,
+	}
+}
+
+func (e *exchange) gotConn(conn *quarantine.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent = e.wrote()
+	e.conn = conn
+	e.use = conn.Use()
+	e.written = conn.Written()
+}
+
+func (e *exchange) putConn(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil && e.conn != nil {
+		e.conn.SetIdle(e.use)
+	}
+}
+
+// wrote reports whether bytes of the request were written to any connection. The mutex is held.
+func (e *exchange) wrote() bool {
+	return e.sent || e.conn != nil && e.conn.Written() > e.written
+}
--- /dev/null
+++ b/internal/inbound/handler.go
@@ -0,0 +1,150 @@
+// Package inbound is the target's side of a call: the HTTP handler of a target's node for forwarded requests. It passes
+// each request through the ledger of attempts, the quarantine, the key gate and the admission to the local target.
+package inbound
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/admission"
+	"github.com/acacialock/acacialock/internal/attempt"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/quarantine"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// role is the handler's part of counter names.
+const role = "target"
+
+// KeyGate decides whether this node may run a keyed attempt now.
+type KeyGate interface {
+	// Check is called before the wait for a slot and at the moment of dispatch. The authority ends at notAfter; an
+	// error's outcome is not-run.
+	Check(service, key, owner string, rosterVersion uint64) (notAfter time.Time, err *failure.Error)
+}
+
+// Config is what a handler needs.
+type Config struct {
+	Self       cluster.Member
+	View       *cluster.View
+	TargetAddr string // host:port of the local target
+	Metrics    *telemetry.Registry
+	Gate       KeyGate          // nil: keyed attempts are refused
+	Peers      quarantine.Peers // nil: suspects of a crash are not shared
+	HealthPath string           // path that WatchHealth asks; empty: none
+	// MaxAttempts and MaxAnswerBytes bound the ledger; 0 takes its defaults.
+	MaxAttempts    int
+	MaxAnswerBytes int
+}
+
+// Handler serves wire.ForwardPath, rpc.Load, rpc.Attempts and rpc.Quarantine. It must be called without http.ServeMux,
+// which redirects requests whose path is not clean. Safe for concurrent use.
+type Handler struct {
+	config  Config
+	gate    *admission.Gate
+	ledger  *attempt.Ledger
+	guard   *quarantine.Guard
+	service atomic.Pointer[servicelist.Service] // whose limits are in force
+	target  atomic.Pointer[target]
+	hint    atomic.Int64 // Unix nanoseconds of the target's last hint that it drains; 0: none
+}
+
+// New returns a handler for the local target.
+func New(config Config) *Handler {
+	h := &Handler{
+		config: config,
+		gate:   admission.New(admission.Limits{Queue: admission.DefaultQueue}),
+		ledger: attempt.New(attempt.Config{
+			Self:           config.Self.ID,
+			MaxEntries:     config.MaxAttempts,
+			MaxAnswerBytes: config.MaxAnswerBytes,
+		}),
+		guard: quarantine.NewGuard(quarantine.Config{
+			Self:       config.Self,
+			View:       config.View,
+			TargetAddr: config.TargetAddr,
+			Peers:      config.Peers,
+			Metrics:    config.Metrics,
+		}),
+	}
+	h.target.Store(newTarget(config.TargetAddr, h.guard.Dial, DefaultConnections))
+	return h
+}
+
+// Close closes the idle connections to the target.
+func (h *Handler) Close() { h.target.Load().transport.CloseIdleConnections() }
+
+// Sample returns the current load.
+func (h *Handler) Sample() wire.LoadSample { return h.gate.Sample() }
+
+// Drain refuses new requests at once and waits for those in flight. The server's Shutdown comes after it, since an
+// answer's last bytes are written after its slot was given back.
+func (h *Handler) Drain(ctx context.Context) error { return h.gate.Drain(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.applyLimits()
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).EnableFullDuplex() // fails for HTTP/2 only, which needs no such call
+	}
+	in, refused := h.parse(r)
+	if refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	recorded, refused := h.ledger.Begin(in.call)
+	if refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	e := newExchange(h, w, r, in, recorded)
+	if refused := e.run(); refused != nil {
+		h.refuse(w, refused)
+	}
+}
+
+// applyLimits takes over changed limits of the service list.
+func (h *Handler) applyLimits() {
+	service := h.config.View.Load().Service(h.config.Self.Service)
+	known := h.service.Load()
+	if service == nil || service == known || !h.service.CompareAndSwap(known, service) {
+		return
+	}
+	limits := service.Limits
+	connections := limits.Connections
+	if connections <= 0 {
+		connections = DefaultConnections
+	}
+	slots := limits.Slots
+	if slots <= 0 {
+		slots = admission.DefaultSlots
+	}
+	h.gate.SetLimits(admission.Limits{Slots: min(slots, connections), Queue: limits.Queue})
+	old := h.target.Load()
+	if old.connections == connections {
+		return
+	}
+	h.target.Store(newTarget(h.config.TargetAddr, h.guard.Dial, connections))
+	old.transport.CloseIdleConnections()
+}
+
+// refuse answers with a failure.
+func (h *Handler) refuse(w http.ResponseWriter, failed *failure.Error) {
+	h.config.Metrics.Refused(role, failed.Reason)
+	header := w.Header()
+	header.Set(wire.Reason, string(failed.Reason))
+	header.Set(wire.Outcome, string(failed.Outcome))
+	header.Set(wire.Load, h.gate.Sample().String())
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if failed.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(failed.RetryAfter.Seconds())))
+	}
+	w.WriteHeader(failed.Status())
+	_, _ = w.Write([]byte(failed.Detail + "\n")) // the entry node may have gone away
+}
--- a/internal/rpc/quarantine.twirp.go
+++ b/internal/rpc/quarantine.twirp.go
@@ -29,6 +29,9 @@
 // Quarantine shares the fingerprints of requests that were in flight when a target crashed.
 type Quarantine interface {
 	Share(context.Context, *ShareRequest) (*ShareResponse, error)
+
+	// Permit asks the coordinator of a suspect for the right to run it, so that only one target runs it at a time.
+	Permit(context.Context, *PermitRequest) (*PermitResponse, error)
 }
 
 // ==========================
@@ -37,7 +40,7 @@
 
 type quarantineProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -65,8 +68,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "acacialock.v1", "Quarantine")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Share",
+		serviceURL + "Permit",
 	}
 
 	return &quarantineProtobufClient{
@@ -123,13 +127,59 @@
 	return out, nil
 }
 
+func (c *quarantineProtobufClient) Permit(ctx context.Context, in *PermitRequest) (*PermitResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "acacialock.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Quarantine")
+	ctx = ctxsetters.WithMethodName(ctx, "Permit")
+	caller := c.callPermit
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PermitRequest) (*PermitResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PermitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PermitRequest) when calling interceptor")
+					}
+					return c.callPermit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PermitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PermitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *quarantineProtobufClient) callPermit(ctx context.Context, in *PermitRequest) (*PermitResponse, error) {
+	out := new(PermitResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ======================
 // Quarantine JSON Client
 // ======================
 
 type quarantineJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -157,8 +207,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "acacialock.v1", "Quarantine")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Share",
+		serviceURL + "Permit",
 	}
 
 	return &quarantineJSONClient{
@@ -215,6 +266,52 @@
 	return out, nil
 }
 
+func (c *quarantineJSONClient) Permit(ctx context.Context, in *PermitRequest) (*PermitResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "acacialock.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Quarantine")
+	ctx = ctxsetters.WithMethodName(ctx, "Permit")
+	caller := c.callPermit
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PermitRequest) (*PermitResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PermitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PermitRequest) when calling interceptor")
+					}
+					return c.callPermit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PermitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PermitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *quarantineJSONClient) callPermit(ctx context.Context, in *PermitRequest) (*PermitResponse, error) {
+	out := new(PermitResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =========================
 // Quarantine Server Handler
 // =========================
@@ -315,6 +412,9 @@
 	case "Share":
 		s.serveShare(ctx, resp, req)
 		return
+	case "Permit":
+		s.servePermit(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -502,6 +602,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *quarantineServer) servePermit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePermitJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePermitProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *quarantineServer) servePermitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Permit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PermitRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Quarantine.Permit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PermitRequest) (*PermitResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PermitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PermitRequest) when calling interceptor")
+					}
+					return s.Quarantine.Permit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PermitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PermitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PermitResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PermitResponse and nil error while calling Permit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *quarantineServer) servePermitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Permit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PermitRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Quarantine.Permit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PermitRequest) (*PermitResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PermitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PermitRequest) when calling interceptor")
+					}
+					return s.Quarantine.Permit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PermitResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PermitResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PermitResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PermitResponse and nil error while calling Permit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *quarantineServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor4, 0
 }
@@ -518,21 +798,30 @@
 }
 
 var twirpFileDescriptor4 = []byte{
-	// 252 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x6c, 0x90, 0xdf, 0x4b, 0xc3, 0x30,
-	0x10, 0xc7, 0x99, 0x43, 0xe7, 0x6e, 0x2b, 0x4a, 0x1e, 0xa4, 0xf8, 0x03, 0x4a, 0x9f, 0xfa, 0x62,
-	0x8b, 0xf5, 0x3f, 0xd8, 0xbb, 0xa0, 0xd9, 0x9b, 0x08, 0x92, 0xc5, 0x73, 0x0d, 0x6e, 0x49, 0x76,
-	0x97, 0x0e, 0xff, 0x7c, 0x31, 0xeb, 0x66, 0x15, 0xdf, 0x72, 0xf7, 0x3d, 0x3e, 0xf7, 0xc9, 0xc1,
-	0xf9, 0xa6, 0x55, 0xa4, 0x6c, 0x30, 0x16, 0x4b, 0x4f, 0x2e, 0x38, 0x91, 0x28, 0xad, 0xb4, 0x51,
-	0x2b, 0xa7, 0x3f, 0xca, 0xed, 0x5d, 0xfe, 0x06, 0xa3, 0x79, 0xcb, 0x1e, 0x75, 0x10, 0x19, 0x4c,
-	0xde, 0x8d, 0x5d, 0x22, 0x79, 0x32, 0x36, 0xa4, 0x83, 0x6c, 0x50, 0x4c, 0x65, 0xbf, 0x25, 0x52,
-	0x18, 0x69, 0x52, 0xdc, 0x20, 0xa7, 0x47, 0xd9, 0xa0, 0x48, 0xe4, 0xbe, 0x14, 0x37, 0x00, 0xf8,
-	0xe9, 0x0d, 0x21, 0xbf, 0xae, 0x39, 0x1d, 0xc6, 0x70, 0xdc, 0x75, 0x1e, 0x38, 0x7f, 0x81, 0xe9,
-	0xbc, 0x51, 0x84, 0x12, 0x37, 0x2d, 0x72, 0x04, 0x31, 0xd2, 0xd6, 0x68, 0x8c, 0x6b, 0xc6, 0x72,
-	0x5f, 0x8a, 0x1a, 0x4e, 0x79, 0xe7, 0xf3, 0xbd, 0x63, 0x58, 0x4c, 0xea, 0x8b, 0xf2, 0x97, 0x71,
-	0xd9, 0xe9, 0xca, 0xc3, 0x5c, 0x7e, 0x06, 0x49, 0x47, 0x67, 0xef, 0x2c, 0x63, 0xfd, 0x08, 0xf0,
-	0x74, 0xf8, 0xb7, 0x98, 0xc1, 0x71, 0x8c, 0xc5, 0xd5, 0x5f, 0x52, 0x4f, 0xe9, 0xf2, 0xfa, 0xff,
-	0x70, 0x47, 0x9c, 0x55, 0xcf, 0xb7, 0x4b, 0x13, 0x9a, 0x76, 0x51, 0x6a, 0xb7, 0xae, 0x7e, 0x26,
-	0xfb, 0x4f, 0x63, 0x03, 0x92, 0x55, 0xab, 0x8a, 0xbc, 0x5e, 0x9c, 0xc4, 0x6b, 0xdf, 0x7f, 0x05,
-	0x00, 0x00, 0xff, 0xff, 0xe0, 0x4b, 0x4d, 0xd1, 0x81, 0x01, 0x00, 0x00,
+	// 387 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0xcf, 0x8e, 0xd3, 0x30,
+	0x10, 0x87, 0xe5, 0xdd, 0x6d, 0x37, 0x99, 0xdd, 0x00, 0xb2, 0xd0, 0x2a, 0x2c, 0x5b, 0x29, 0xca,
+	0x29, 0x17, 0x52, 0x51, 0xde, 0xa0, 0x82, 0x63, 0x25, 0x70, 0x6f, 0x08, 0x09, 0xb9, 0xce, 0x34,
+	0xb5, 0x48, 0x9d, 0x74, 0x9c, 0x54, 0x3c, 0x09, 0x48, 0x3c, 0x2d, 0x8a, 0x93, 0xf4, 0x1f, 0x20,
+	0x6e, 0xf9, 0x79, 0x46, 0xe3, 0x6f, 0xbe, 0x18, 0x5e, 0xec, 0x1a, 0x49, 0xd2, 0xd4, 0xda, 0x60,
+	0x5a, 0x51, 0x59, 0x97, 0x3c, 0x90, 0x4a, 0x2a, 0x2d, 0x8b, 0x52, 0x7d, 0x4b, 0xf7, 0x6f, 0xe3,
+	0x1f, 0x0c, 0x6e, 0x97, 0x8d, 0xad, 0x50, 0xd5, 0x3c, 0x82, 0xbb, 0xb5, 0x36, 0x39, 0x52, 0x45,
+	0xda, 0xd4, 0x21, 0x8b, 0x58, 0x72, 0x2f, 0x4e, 0x8f, 0x78, 0x08, 0xb7, 0x8a, 0xa4, 0xdd, 0xa0,
+	0x0d, 0xaf, 0x22, 0x96, 0x04, 0x62, 0x88, 0x7c, 0x02, 0x80, 0xdf, 0x2b, 0x4d, 0x68, 0xbf, 0x6e,
+	0x6d, 0x78, 0xed, 0x8a, 0x7e, 0x7f, 0xb2, 0xb0, 0xfc, 0x01, 0xc6, 0x25, 0xe9, 0x5c, 0x9b, 0xf0,
+	0x26, 0x62, 0x89, 0x2f, 0xfa, 0xe4, 0x06, 0x16, 0x28, 0x09, 0xb3, 0x70, 0x14, 0xb1, 0xc4, 0x13,
+	0x43, 0x8c, 0xbf, 0xc0, 0xfd, 0x72, 0x23, 0x09, 0x05, 0xee, 0x1a, 0xb4, 0xee, 0x6a, 0x8b, 0xb4,
+	0xd7, 0x0a, 0x1d, 0x98, 0x2f, 0x86, 0xc8, 0x67, 0xe0, 0xd9, 0x6e, 0x83, 0x96, 0xea, 0x3a, 0xb9,
+	0x9b, 0x3d, 0xa4, 0x67, 0x4b, 0xa6, 0xfd, 0x82, 0xe2, 0xd0, 0x17, 0x3f, 0x87, 0xa0, 0x9f, 0x6e,
+	0xab, 0xd2, 0x58, 0x8c, 0x7f, 0x31, 0x08, 0x3e, 0x22, 0x6d, 0x75, 0xfd, 0xff, 0x0b, 0x2f, 0x3c,
+	0x5d, 0xfd, 0xe9, 0xe9, 0x09, 0x7c, 0xea, 0xc6, 0x20, 0x39, 0x19, 0xbe, 0x38, 0x1e, 0xf0, 0x57,
+	0xe0, 0xed, 0x65, 0xa1, 0xb3, 0xd6, 0xd4, 0x4d, 0xa7, 0xd1, 0xe5, 0x85, 0xe5, 0x2f, 0x61, 0x84,
+	0x26, 0x3b, 0xd8, 0xe8, 0x42, 0xfc, 0x1e, 0x9e, 0x0d, 0x6c, 0x1d, 0x6e, 0x0b, 0x97, 0xb7, 0xff,
+	0x15, 0x33, 0x07, 0xe7, 0x89, 0x21, 0xb6, 0x15, 0xc2, 0x75, 0x63, 0x31, 0x73, 0x60, 0x9e, 0x18,
+	0xe2, 0xec, 0x27, 0x03, 0xf8, 0x74, 0x78, 0x0e, 0x7c, 0x0e, 0x23, 0xa7, 0x80, 0xbf, 0xbe, 0xb4,
+	0x75, 0xa2, 0xfd, 0xf1, 0xe9, 0xef, 0xc5, 0x1e, 0xe3, 0x03, 0x8c, 0x3b, 0x30, 0x7e, 0xd9, 0x77,
+	0xe6, 0xf2, 0x71, 0xf2, 0x8f, 0x6a, 0x37, 0x66, 0x3e, 0xfd, 0xfc, 0x26, 0xd7, 0xf5, 0xa6, 0x59,
+	0xa5, 0xaa, 0xdc, 0x4e, 0x8f, 0xad, 0xa7, 0x9f, 0xda, 0xd4, 0x48, 0x46, 0x16, 0x53, 0xaa, 0xd4,
+	0x6a, 0xec, 0xde, 0xf2, 0xbb, 0xdf, 0x01, 0x00, 0x00, 0xff, 0xff, 0xdf, 0x59, 0x70, 0x3d, 0xdf,
+	0x02, 0x00, 0x00,
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"net/http"
@@ -35,6 +36,9 @@
 // NotAfter tells the target the Unix time in milliseconds after which it must not start the request.
 const NotAfter = "Acacialock-Not-After"
 
+// TargetDraining is "1" on a 503 answer of a target that shuts down; it is a hint to the target's node.
+const TargetDraining = "Acacialock-Target-Draining"
+
 // ForwardPath is the path prefix of forwarded requests on the peer listener; the original path and query follow it.
 const ForwardPath = "/acacialock/v1/forward"
 
@@ -44,6 +48,13 @@
 // MaxDepth is the greatest number of nested calls.
 const MaxDepth = 10
 
+// CallFingerprint is the digest of method and path by which a reused Idempotency-Key is found. The path is in its
+// escaped form, without the query.
+func CallFingerprint(method, path string) []byte {
+	sum := sha256.Sum256([]byte(method + "\n" + path))
+	return sum[:16]
+}
+
 // AttemptID names one send of a request to one target.
 type AttemptID [16]byte
 
