--- a/internal/attempt/expiry.go
+++ b/internal/attempt/expiry.go
@@ -30,7 +30,7 @@
 
 func (e *expiry) second(at time.Time) int64 { return int64(at.Sub(e.start) / time.Second) }
 
-// take returns up to limit ids that expired.
+// take returns up to limit ids of one second that expired, or none when nothing is due.
 func (e *expiry) take(now time.Time, limit int) []wire.AttemptID {
 	for e.held > 0 && e.next <= e.second(now) {
 		bucket := e.buckets[e.next]
@@ -49,16 +49,21 @@
 
 // expire forgets attempts whose retention ended. The mutex is held.
 func (l *Ledger) expire(now time.Time) {
-	for {
-		taken := l.expiry.take(now, maxExpired)
-		for _, id := range taken {
-			if seen := l.entries[id]; seen.detail != nil && seen.detail.answer != nil {
-				l.answerBytes -= seen.detail.answer.size()
-			}
-			delete(l.entries, id)
-		}
-		if len(taken) == 0 || len(l.entries) < l.config.MaxEntries {
+	for left := maxExpired; left > 0; {
+		taken := l.expiry.take(now, left)
+		if len(taken) == 0 {
 			return
 		}
+		for _, id := range taken {
+			l.forget(id)
+		}
+		left -= len(taken)
+	}
+}
+
+func (l *Ledger) forget(id wire.AttemptID) {
+	if seen := l.entries[id]; seen.detail != nil && seen.detail.answer != nil {
+		l.answerBytes -= seen.detail.answer.size()
 	}
+	delete(l.entries, id)
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -52,10 +52,13 @@
 	}
 	n, err := b.source.Read(into)
 	b.digest.Write(into[:n])
-	b.err = err
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.digest.End()
+	case err != nil && b.closed.Load():
+		err = errBodyClosed // the read was interrupted from here
 	}
+	b.err = err
 	return n, err
 }
 
@@ -98,23 +101,30 @@
 	return b.brokeOff()
 }
 
-// brokeOff returns the error of the source, or nil when it ended or goes on. The mutex is held.
+// brokeOff returns the error by which the caller's side ended the source, or nil. The mutex is held.
 func (b *requestBody) brokeOff() error {
-	if b.err == io.EOF {
+	if b.err == io.EOF || b.err == errBodyClosed {
 		return nil
 	}
 	return b.err
 }
 
-// finish ends the reads, so that none runs after the handler returned. A read that waits for the caller is interrupted
-// by a deadline in the past, after which the server closes the connection.
+// finish ends the reads, so that none runs after the handler returned.
 func (b *requestBody) finish() {
+	b.interrupt()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+}
+
+// interrupt lets the reads fail from now on. One that waits for the caller is ended by a deadline in the past, after
+// which the server closes the connection.
+func (b *requestBody) interrupt() {
 	b.closed.Store(true)
-	if !b.mu.TryLock() {
-		_ = b.control.SetReadDeadline(time.Unix(1, 0))
-		b.mu.Lock()
+	if b.mu.TryLock() {
+		b.mu.Unlock()
+		return
 	}
-	b.mu.Unlock()
+	_ = b.control.SetReadDeadline(time.Unix(1, 0))
 }
 
 // emptyBody makes net/http take a request without a body for one that can't be sent again.
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -71,6 +71,9 @@
 	defer e.attempt.Broken() // counts only when nothing else was recorded
 	ctx, cancel := e.targetContext()
 	defer cancel()
+	if e.r.ContentLength != 0 {
+		defer context.AfterFunc(ctx, e.body.interrupt)()
+	}
 	return e.forward(ctx)
 }
 
@@ -218,7 +221,7 @@
 	defer e.mu.Unlock()
 	e.sent = e.wrote()
 	e.conn = conn
-	e.use = conn.Use()
+	e.use = conn.Use(e.targetClosed)
 	e.written = conn.Written()
 }
 
@@ -230,6 +233,17 @@
 	}
 }
 
+// targetClosed ends the reads of the request's body when the target closed the connection before its answer. The
+// transport waits for them, for ever if the caller sends nothing more.
+func (e *exchange) targetClosed() {
+	e.mu.Lock()
+	answered := e.answered
+	e.mu.Unlock()
+	if !answered {
+		e.body.interrupt()
+	}
+}
+
 // wrote reports whether bytes of the request were written to any connection. The mutex is held.
 func (e *exchange) wrote() bool {
 	return e.sent || e.conn != nil && e.conn.Written() > e.written
--- a/internal/quarantine/monitor.go
+++ b/internal/quarantine/monitor.go
@@ -50,10 +50,15 @@
 	idle    atomic.Uint64 // the use after which it became idle
 	written atomic.Int64
 	closed  atomic.Bool
+	onBreak atomic.Pointer[func()]
 }
 
-// Use notes that a request uses the connection from now on, and returns the number of the use.
-func (c *Conn) Use() uint64 { return c.uses.Add(1) }
+// Use notes that a request uses the connection from now on, and returns the number of the use. When the target closes
+// the connection before SetIdle, onBreak is called.
+func (c *Conn) Use(onBreak func()) uint64 {
+	c.onBreak.Store(&onBreak)
+	return c.uses.Add(1)
+}
 
 // SetIdle notes that the request with that number no longer uses the connection.
 func (c *Conn) SetIdle(use uint64) { c.idle.Store(use) }
@@ -71,12 +76,22 @@
 // Read implements net.Conn.
 func (c *Conn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
-	if err != nil && !c.closed.Load() && c.idle.Load() == c.uses.Load() {
-		c.monitor.noteBreak()
+	if err != nil && !c.closed.Load() {
+		c.broke()
 	}
 	return n, err
 }
 
+func (c *Conn) broke() {
+	if c.idle.Load() == c.uses.Load() {
+		c.monitor.noteBreak()
+		return
+	}
+	if call := c.onBreak.Load(); call != nil {
+		(*call)()
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.closed.Store(true)
