--- /dev/null
+++ b/internal/inbound/crash_test.go
@@ -0,0 +1,162 @@
+package inbound
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+)
+
+func sayHello(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "hello") }
+
+// crashCluster is nodes of one service, each with a target that can die.
+type crashCluster struct {
+	nodes   []*node
+	targets []*crashTarget
+}
+
+func startCrashCluster(t *testing.T, size int, pause time.Duration) *crashCluster {
+	c := &crashCluster{}
+	var members []cluster.Member
+	for range size {
+		target := startCrashTarget(t, pause, sayHello)
+		one := startNode(t, target.addr, nil)
+		c.targets = append(c.targets, target)
+		c.nodes = append(c.nodes, one)
+		members = append(members, one.self)
+	}
+	for _, one := range c.nodes {
+		snapshot := *one.view.Load()
+		snapshot.Members = map[string][]cluster.Member{service: members}
+		one.view.Publish(&snapshot)
+	}
+	return c
+}
+
+func (c *crashCluster) crashes() int {
+	total := 0
+	for _, target := range c.targets {
+		total += int(target.crashes.Load())
+	}
+	return total
+}
+
+// warm lets every node have idle connections to its target.
+func (c *crashCluster) warm() {
+	var group sync.WaitGroup
+	for _, one := range c.nodes {
+		for range 3 {
+			group.Go(func() { one.send(context.Background(), call{method: "GET", path: "/", idempotent: true}) })
+		}
+	}
+	group.Wait()
+}
+
+// Guards against a request that takes down a third target when its caller sends it again for ever through any node,
+// after each answer or in copies that arrive together at different targets, and against targets that refuse other
+// requests because of it. The targets are back at once or after a pause.
+func TestCrashingRequestTakesDownTwoTargets(t *testing.T) {
+	for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
+		for _, copies := range []int{1, 2, 12} {
+			t.Run(fmt.Sprintf("pause %v, %d copies", pause, copies), func(t *testing.T) {
+				c := startCrashCluster(t, 4, pause)
+				c.warm()
+				bad := call{method: "POST", path: "/crash?lot=1"}
+				if copies > 2 { // copies that come before the first mark are bounded by their number only
+					c.nodes[0].send(context.Background(), bad)
+				}
+				for round := range 6 {
+					var group sync.WaitGroup
+					for i := range copies {
+						group.Go(func() { c.nodes[(round+i)%len(c.nodes)].send(context.Background(), bad) })
+					}
+					group.Wait()
+					c.warm()
+				}
+				assert.Equal(t, c.crashes(), 2)
+				for _, one := range c.nodes {
+					refused := one.send(context.Background(), bad)
+					assert.Equal(t, refused.reason(), failure.Quarantined)
+					assert.Equal(t, refused.outcome(), failure.NotRun)
+					one.awaitTarget(t)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a harmless request that stays a suspect after it ran beside one that crashed the target, and against a
+// single connection closed by a handler that is taken for a crash.
+func TestHarmlessSuspectIsCleared(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	target := startCrashTarget(t, 20*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			reached <- struct{}{}
+			time.Sleep(100 * time.Millisecond)
+		case "/abort":
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "hello")
+	})
+	one := startNode(t, target.addr, nil)
+	ctx := context.Background()
+	aborted := one.send(ctx, call{method: "POST", path: "/abort"})
+	assert.Equal(t, aborted.reason(), failure.TargetBroke)
+	assert.Equal(t, aborted.outcome(), failure.Unknown)
+	assert.Equal(t, one.guard.Store().Changes(), uint64(0))
+
+	var group sync.WaitGroup
+	group.Go(func() {
+		broken := one.send(ctx, call{method: "GET", path: "/slow", idempotent: true})
+		assert.Check(t, broken.reason() == failure.TargetBroke)
+	})
+	<-reached
+	one.send(ctx, call{method: "GET", path: "/crash", idempotent: true})
+	group.Wait()
+	assert.Equal(t, target.crashes.Load(), int64(1))
+
+	one.awaitTarget(t)
+	for range 2 {
+		group.Go(func() {
+			answer := one.send(ctx, call{method: "GET", path: "/slow", idempotent: true})
+			assert.Check(t, answer.body == "hello", answer.body)
+		})
+		<-reached
+	}
+	group.Wait()
+	values := one.config.Metrics.Values()
+	assert.Equal(t, values["quarantine.crashes"], int64(1))
+	assert.Equal(t, values["quarantine.cleared"], int64(1))
+}
+
+// Guards against a dead target that is reported as if it had run something, and against an exchange that hangs until the
+// caller sends the rest of its body when the target dies.
+func TestDeadTarget(t *testing.T) {
+	target := startCrashTarget(t, -1, sayHello)
+	one := startNode(t, target.addr, nil)
+	ctx := context.Background()
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	dead := make(chan result)
+	go func() { dead <- one.send(ctx, call{method: "POST", path: "/crash", body: reader}) }()
+	_, err := writer.Write([]byte("part"))
+	assert.NilError(t, err)
+	broken := <-dead
+	assert.NilError(t, broken.err)
+	assert.Equal(t, broken.reason(), failure.TargetBroke)
+	assert.Equal(t, broken.outcome(), failure.Unknown)
+
+	refused := one.send(ctx, call{method: "POST", path: "/"})
+	assert.Equal(t, refused.reason(), failure.TargetUnreachable)
+	assert.Equal(t, refused.outcome(), failure.NotRun)
+	assert.Equal(t, one.Sample().InFlight, 0)
+}
--- /dev/null
+++ b/internal/inbound/node_test.go
@@ -0,0 +1,249 @@
+package inbound
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/quarantine"
+	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+const service = "orders"
+
+// newView returns a view whose list has one service with the default limits.
+func newView(self cluster.Member) *cluster.View {
+	return cluster.NewView(&cluster.Snapshot{
+		Self: self,
+		List: &servicelist.List{Services: map[string]*servicelist.Service{service: {
+			Name: service, Limits: servicelist.Limits{Slots: 9, Connections: 260, Queue: 9},
+		}}},
+		Members: map[string][]cluster.Member{service: {self}},
+	})
+}
+
+// node is a handler on a loopback listener.
+type node struct {
+	*Handler
+	self   cluster.Member
+	view   *cluster.View
+	client *http.Client
+}
+
+// startNode serves the target at addr; change may alter the configuration.
+func startNode(t testing.TB, addr string, change func(*Config)) *node {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	self := cluster.Member{
+		ID: "node@" + listener.Addr().String(), Service: service, PeerAddr: listener.Addr().String(),
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	config := Config{Self: self, View: newView(self), TargetAddr: addr, Metrics: telemetry.New()}
+	config.Peers = quarantine.NewPeers(config.View, client)
+	if change != nil {
+		change(&config)
+	}
+	n := &node{Handler: New(config), self: self, view: config.View, client: client}
+	server := &http.Server{Handler: n.listener()}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		n.Close()
+		client.CloseIdleConnections()
+		assert.NilError(t, server.Close())
+	})
+	return n
+}
+
+func (n *node) listener() http.Handler {
+	quarantines := rpc.NewQuarantineServer(n.Handler)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/twirp/") {
+			quarantines.ServeHTTP(w, r)
+			return
+		}
+		n.ServeHTTP(w, r)
+	})
+}
+
+// call is a forwarded request; zero fields take defaults.
+type call struct {
+	method, path string
+	body         io.Reader
+	idempotent   bool
+	key          string
+	attempt      wire.AttemptID
+	timeout      time.Duration
+	header       http.Header
+}
+
+func (n *node) request(ctx context.Context, c call) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+n.self.PeerAddr+wire.ForwardPath+c.path, c.body)
+	if err != nil {
+		panic(err)
+	}
+	for name, values := range c.header {
+		r.Header[name] = values
+	}
+	if c.attempt == (wire.AttemptID{}) {
+		c.attempt = wire.NewAttemptID()
+	}
+	r.Header.Set(wire.Service, service)
+	r.Header.Set(wire.Incarnation, n.self.ID)
+	r.Header.Set(wire.AttemptHeader, c.attempt.String())
+	r.Header.Set(wire.TimeoutMS, fmt.Sprint(max(c.timeout, time.Millisecond).Milliseconds()))
+	if c.timeout == 0 {
+		r.Header.Set(wire.TimeoutMS, "10000")
+	}
+	if c.idempotent {
+		r.Header.Set(wire.Idempotent, "1")
+	}
+	if c.key != "" {
+		r.Header.Set(wire.IdempotencyKey, c.key)
+		r.Header.Set(wire.KeyOwner, "owner@1")
+		r.Header.Set(wire.RosterVersion, "7")
+	}
+	return r
+}
+
+// result is a whole answer, or the error that kept it from being whole.
+type result struct {
+	*http.Response
+	body string
+	err  error
+}
+
+func (r result) reason() failure.Reason {
+	if r.Response == nil {
+		return ""
+	}
+	return failure.Reason(r.Header.Get(wire.Reason))
+}
+
+func (r result) outcome() failure.Outcome {
+	return failure.Outcome(r.Header.Get(wire.Outcome))
+}
+
+// send does not let the client's transport send the request again.
+func (n *node) send(ctx context.Context, c call) result {
+	r := n.request(ctx, c)
+	r.GetBody = nil
+	answer, err := n.client.Transport.RoundTrip(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return result{Response: answer, body: string(body), err: err}
+}
+
+// awaitTarget waits until the target, which greets, is back.
+func (n *node) awaitTarget(t *testing.T) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		answer := n.send(context.Background(), call{method: "GET", path: "/", idempotent: true})
+		return poll.Compare(cmp.Equal(answer.body, "hello"))
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// crashTarget is a target whose process dies at a request for a path that starts with /crash: its listener and all its
+// connections are reset. It accepts connections again after a pause.
+type crashTarget struct {
+	addr    string
+	pause   time.Duration // negative: it does not come back
+	crashes atomic.Int64
+	handler http.HandlerFunc
+	ended   atomic.Bool
+
+	mu     sync.Mutex
+	server *http.Server
+	conns  map[net.Conn]struct{}
+	group  sync.WaitGroup
+}
+
+func startCrashTarget(t testing.TB, pause time.Duration, handler http.HandlerFunc) *crashTarget {
+	target := &crashTarget{addr: "127.0.0.1:0", pause: pause, handler: handler}
+	assert.NilError(t, target.listen())
+	t.Cleanup(func() {
+		target.ended.Store(true)
+		target.die(nil)
+		target.group.Wait()
+	})
+	return target
+}
+
+func (c *crashTarget) listen() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listener, err := net.Listen("tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	c.addr = listener.Addr().String()
+	conns := map[net.Conn]struct{}{}
+	c.conns = conns
+	server := &http.Server{Handler: c, ConnState: func(conn net.Conn, state http.ConnState) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		conns[conn] = struct{}{}
+		if state == http.StateClosed {
+			delete(conns, conn)
+		}
+	}}
+	c.server = server
+	c.group.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+func (c *crashTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/crash") {
+		c.handler(w, r)
+		return
+	}
+	c.mu.Lock()
+	server := c.server
+	c.mu.Unlock()
+	c.die(server)
+	panic(http.ErrAbortHandler)
+}
+
+// die kills the process that the server stands for, once; nil kills the current one.
+func (c *crashTarget) die(server *http.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server == nil || server != nil && server != c.server {
+		return
+	}
+	if server != nil {
+		c.crashes.Add(1)
+	}
+	dying := c.server
+	c.server = nil
+	for conn := range c.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.group.Go(func() {
+		_ = dying.Close()
+		if server == nil || c.pause < 0 {
+			return
+		}
+		time.Sleep(c.pause)
+		for !c.ended.Load() && c.listen() != nil {
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
