Add the bench that compares policies

Policies can't be compared by reasoning alone: several entry nodes act on stale knowledge. The bench drives fake targets behind real sockets with an open loop and planned calls, and interleaves the policies in one run.

--- /dev/null
+++ b/bench/load/main.go
@@ -0,0 +1,76 @@
+// Command load compares policies for the choice of a target on fake targets behind loopback sockets. It is an
+// open-loop runner: calls start at planned times, and latency counts from the planned time.
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"k8s.io/klog/v2"
+)
+
+var allPolicies = []string{"random", "round-robin", "least-in-flight", "two-choices", "pool", "perfect"}
+
+type options struct {
+	Load     int           `arg:"--load" default:"85" help:"percent of the nominal capacity"`
+	Sizes    []int         `arg:"--size,separate" help:"workers of a service; all sizes run at once (default 5 and 7)"`
+	Policies []string      `arg:"--policy,separate" help:"policies to compare (default all)"`
+	Rounds   int           `arg:"--rounds" default:"5"`
+	Slice    time.Duration `arg:"--slice" default:"5s" help:"time of one policy in one round"`
+	Warmup   time.Duration `arg:"--warmup" default:"500ms" help:"start of a slice that is not counted"`
+	Entries  int           `arg:"--entries" help:"entry nodes (default one for each worker)"`
+	Regions  int           `arg:"--regions" default:"2" help:"1 or 2"`
+	Service  time.Duration `arg:"--service" default:"25ms" help:"mean service time"`
+	Queue    int           `arg:"--queue" default:"9" help:"requests that wait at a target before it refuses"`
+	Seed     uint64        `arg:"--seed" default:"1"`
+	Cores    int           `arg:"--cores" default:"5" help:"cores used at most"`
+	Out      string        `arg:"--out" default:"bench/results"`
+}
+
+func main() {
+	options := &options{}
+	arg.MustParse(options)
+	if len(options.Sizes) == 0 {
+		options.Sizes = []int{5, 7}
+	}
+	if len(options.Policies) == 0 {
+		options.Policies = allPolicies
+	}
+	runtime.GOMAXPROCS(options.Cores)
+	if err := compare(options); err != nil {
+		klog.ErrorS(err, "the run failed")
+		os.Exit(1)
+	}
+}
+
+// compare runs every policy once in each round, in an order drawn for each round.
+func compare(options *options) error {
+	command := fmt.Sprintf("seed %d: go run ./bench/load %s", options.Seed, strings.Join(os.Args[1:], " "))
+	fmt.Println(command)
+	var results []*measured
+	for round := range options.Rounds {
+		order := slices.Clone(options.Policies)
+		random := rand.New(rand.NewPCG(options.Seed, uint64(round)))
+		random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		for _, policy := range order {
+			measured, err := runSlice(options, policy, round)
+			if err != nil {
+				return err
+			}
+			results = append(results, measured...)
+		}
+	}
+	summaries := summarize(results)
+	writeTable(os.Stdout, summaries)
+	directory, err := writeFiles(options, command, summaries)
+	if err == nil {
+		fmt.Println("files:", directory)
+	}
+	return err
+}
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -27,12 +27,12 @@
 
 // sample is the latest load sample of a member. The zero value holds none.
 type sample struct {
-	known    bool
-	load     int           // requests at the target and in its queue
-	latency  time.Duration // estimate of the target's node
-	at       time.Time     // when it arrived
-	uses     int           // picks based on it
-	sends    int           // own sends since it arrived
+	known   bool
+	load    int           // requests at the target and in its queue
+	latency time.Duration // estimate of the target's node
+	at      time.Time     // when it arrived
+	uses    int           // picks based on it
+	sends   int           // own sends since it arrived
 }
 
 const (
