--- a/internal/cluster/rows.go
+++ b/internal/cluster/rows.go
@@ -54,3 +54,10 @@
 	Epoch   uint64   `json:"epoch"`   // lease epoch of the writer
 	Members []Member `json:"members"` // sorted by id
 }
+
+// RosterIndexRow is the value of the row RosterIndexKey.
+type RosterIndexRow struct {
+	// Commits holds, by service, the commit count of its roster row. It stands for the table's version of that row,
+	// which is not known yet when both rows are written in one commit.
+	Commits map[string]uint64 `json:"commits"`
+}
--- /dev/null
+++ b/internal/keys/authority.go
@@ -0,0 +1,96 @@
+package keys
+
+import (
+	"slices"
+	"time"
+)
+
+// authority tracks what lets this member act: confirmations of the table and promises of members.
+type authority struct {
+	version   uint64               // installed version
+	confirmed map[uint64]time.Time // by roster version: when the table last showed it with this member unmarked
+	alive     time.Time            // when the table last showed this member unmarked, at any version
+	held      map[string]time.Time // end of the promises that members gave for the installed version
+	given     map[string]time.Time // end of the promises given to members
+}
+
+func newAuthority() authority {
+	return authority{confirmed: map[uint64]time.Time{}, held: map[string]time.Time{}, given: map[string]time.Time{}}
+}
+
+func (a *authority) confirm(version uint64, asOf time.Time) {
+	if asOf.After(a.confirmed[version]) {
+		a.confirmed[version] = asOf
+	}
+	if asOf.After(a.alive) {
+		a.alive = asOf
+	}
+}
+
+// installed forgets what counted for older versions.
+func (a *authority) installed(version uint64) {
+	a.version = version
+	a.held = map[string]time.Time{}
+	for older := range a.confirmed {
+		if older < version {
+			delete(a.confirmed, older)
+		}
+	}
+}
+
+// until is the end of the authority at the installed roster.
+func (a *authority) until(cfg *Config, roster *Roster) time.Time {
+	if roster.member(cfg.Self.ID) == nil {
+		return time.Time{}
+	}
+	end := a.promisedUntil(cfg, roster)
+	if confirmed, ok := a.confirmed[roster.Version]; ok && confirmed.Add(cfg.G).After(end) {
+		end = confirmed.Add(cfg.G)
+	}
+	return end
+}
+
+// promisedUntil is the end of the promises of a strict majority, this member included.
+func (a *authority) promisedUntil(cfg *Config, roster *Roster) time.Time {
+	if a.alive.IsZero() {
+		return time.Time{}
+	}
+	limit := a.alive.Add(cfg.Gmax)
+	needed := len(roster.Members) / 2 // others besides this member
+	if needed == 0 {
+		return limit
+	}
+	var ends []time.Time
+	for id, end := range a.held {
+		if id != cfg.Self.ID && roster.member(id) != nil {
+			ends = append(ends, end)
+		}
+	}
+	if len(ends) < needed {
+		return time.Time{}
+	}
+	slices.SortFunc(ends, func(x, y time.Time) int { return y.Compare(x) })
+	if end := ends[needed-1]; end.Before(limit) {
+		return end
+	}
+	return limit
+}
+
+// promise records a promise that lasts d on the requester's clock.
+func (a *authority) promise(now time.Time, requester string, d time.Duration) {
+	a.given[requester] = now.Add(rateMargin(d))
+}
+
+// promisedToRemoved reports whether a promise is in force to a node that is no member of the roster.
+func (a *authority) promisedToRemoved(now time.Time, roster *Roster) bool {
+	for id, end := range a.given {
+		if !now.Before(end) {
+			delete(a.given, id)
+			continue
+		}
+		if roster.member(id) == nil {
+			return true
+		}
+	}
+	return false
+}
