Serve calls through the whole path

The entry node chooses a target, sends attempts to the target's node over net/http, checks a connection whose first byte is late on a new connection, fences non-idempotent attempts before a retry, claims Idempotency-Keys, and relays keyed calls to the home region. The daemon wires all roles; make demo starts them as separate processes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build test check demo bench generate
+.PHONY: help build test check demo bench generate
+
+help:
+	@echo "make demo | test | bench [BENCH=full] | build | check | generate"
 
 build:
 	go build -o bin/ ./cmd/...
@@ -11,3 +14,9 @@
 
 generate:
 	go generate ./internal/rpc
+
+demo:
+	go run ./demo
+
+bench:
+	sh scripts/bench.sh $(BENCH)
--- a/demo/target/main.go
+++ b/demo/target/main.go
@@ -58,14 +58,9 @@
 		}
 		t.log = file
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("POST /control/delay", t.setDelay)
-	mux.HandleFunc("/stream", t.stream)
-	mux.HandleFunc("/", t.run)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	server := &http.Server{Addr: args.Listen, Handler: mux}
+	server := &http.Server{Addr: args.Listen, Handler: t}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
@@ -76,6 +71,20 @@
 	return nil
 }
 
+// ServeHTTP routes by the exact path; http.ServeMux would redirect paths that are not clean.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/health":
+		fmt.Fprintln(w, "ok")
+	case "/control/delay":
+		t.setDelay(w, r)
+	case "/stream":
+		t.stream(w, r)
+	default:
+		t.run(w, r)
+	}
+}
+
 func (t *target) setDelay(w http.ResponseWriter, r *http.Request) {
 	delay, err := time.ParseDuration(r.URL.Query().Get("d"))
 	if err != nil {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -7,17 +7,17 @@
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
-// Attempt is a recorded arrival. Its methods do nothing for idempotent attempts. Only the first of Refuse, Done and
-// Broken counts.
+// Attempt is a recorded arrival. Only the first of Refuse, Done and Broken counts.
 type Attempt struct {
-	ledger *Ledger // nil for idempotent attempts
-	id     wire.AttemptID
+	ledger     *Ledger
+	id         wire.AttemptID
+	idempotent bool
 }
 
 // Dispatch marks the attempt as running. It fails with fenced, not-run, when the attempt was fenced meanwhile; it must
 // not be sent to the target then.
 func (a *Attempt) Dispatch() *failure.Error {
-	if a.ledger == nil {
+	if a.idempotent {
 		return nil
 	}
 	l := a.ledger
@@ -43,11 +43,12 @@
 func (a *Attempt) Broken() { a.end(Broken, nil) }
 
 func (a *Attempt) end(state State, answer *Answer) {
-	if a.ledger == nil {
-		return
-	}
 	a.ledger.mu.Lock()
 	defer a.ledger.mu.Unlock()
+	if a.idempotent {
+		delete(a.ledger.idempotent, a.id)
+		return
+	}
 	a.ledger.end(a.id, state, answer)
 }
 
--- a/internal/attempt/ledger.go
+++ b/internal/attempt/ledger.go
@@ -58,7 +58,7 @@
 // Call describes an attempt that arrives.
 type Call struct {
 	ID wire.AttemptID
-	// Idempotent attempts are not recorded.
+	// Idempotent attempts are recorded only until they end.
 	Idempotent bool
 	// Keyed is nil for calls without an Idempotency-Key.
 	Keyed *Keyed
@@ -86,6 +86,7 @@
 	config      Config
 	mu          sync.Mutex
 	entries     map[wire.AttemptID]entry
+	idempotent  map[wire.AttemptID]struct{} // idempotent attempts that have not ended
 	answerBytes int
 	expiry      expiry
 }
@@ -116,20 +117,22 @@
 		config.Now = time.Now
 	}
 	return &Ledger{
-		config:  config,
-		entries: map[wire.AttemptID]entry{},
-		expiry:  expiry{start: config.Now(), buckets: map[int64][]wire.AttemptID{}},
+		config:     config,
+		entries:    map[wire.AttemptID]entry{},
+		idempotent: map[wire.AttemptID]struct{}{},
+		expiry:     expiry{start: config.Now(), buckets: map[int64][]wire.AttemptID{}},
 	}
 }
 
 // Begin records the arrival of an attempt. Errors are duplicate-attempt with the outcome that is known of the first
 // arrival, fenced and attempt-ledger-full, both not-run. The attempt must be ended by Refuse, Done or Broken.
 func (l *Ledger) Begin(call Call) (*Attempt, *failure.Error) {
-	if call.Idempotent {
-		return &Attempt{}, nil
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if call.Idempotent {
+		l.idempotent[call.ID] = struct{}{}
+		return &Attempt{ledger: l, id: call.ID, idempotent: true}, nil
+	}
 	now := l.config.Now()
 	l.expire(now)
 	if seen, ok := l.entries[call.ID]; ok {
@@ -178,6 +181,21 @@
 	return NotRun
 }
 
+// Query returns the state of an attempt without changing it, and false when it was never seen. An idempotent attempt
+// is seen only until it ends.
+func (l *Ledger) Query(id wire.AttemptID, memberID string) (State, bool) {
+	if memberID != l.config.Self {
+		return Unknown, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, running := l.idempotent[id]; running {
+		return Running, true
+	}
+	seen, ok := l.entries[id]
+	return seen.state, ok
+}
+
 // Wait returns the state of an attempt once it is final, or the state reached when the context ends. The answer is nil
 // when it was not kept.
 func (l *Ledger) Wait(ctx context.Context, id wire.AttemptID) (State, *Answer) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,10 +16,12 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/control"
 	"github.com/acacialock/acacialock/internal/entry"
+	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/forward"
 	"github.com/acacialock/acacialock/internal/inbound"
 	"github.com/acacialock/acacialock/internal/keys"
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/quarantine"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/telemetry"
@@ -84,13 +86,68 @@
 	}
 }
 
+// keyedAttempts lists the target side's keyed attempts for key ownership.
+type keyedAttempts struct{ inbound *inbound.Handler }
+
+func (k keyedAttempts) KeyedAttempts() []keys.KeyedAttempt {
+	listed := k.inbound.KeyedAttempts()
+	attempts := make([]keys.KeyedAttempt, len(listed))
+	for i, one := range listed {
+		attempts[i] = keys.KeyedAttempt{
+			Key:         one.Key,
+			Fingerprint: one.Fingerprint,
+			Attempt:     one.Attempt[:],
+			Owner:       one.Owner,
+			Version:     one.RosterVersion,
+			Age:         one.Age,
+			State:       one.State,
+			Answer:      one.Answer,
+		}
+	}
+	return attempts
+}
+
+// keyGate breaks the cycle between the target's side, which asks key ownership before a dispatch, and key ownership,
+// which lists the target side's attempts.
+type keyGate struct{ daemon *Daemon }
+
+func (g keyGate) Check(service, key, owner string, rosterVersion uint64) (time.Time, *failure.Error) {
+	return g.daemon.keys.Check(service, key, owner, rosterVersion)
+}
+
+func (d *Daemon) newTargetSide(client *platform.Client) error {
+	d.inbound = inbound.New(inbound.Config{
+		Self:       d.self,
+		View:       d.view,
+		TargetAddr: d.settings.TargetAddr,
+		Metrics:    d.metrics,
+		Gate:       keyGate{d},
+		Peers:      quarantine.NewPeers(d.view, d.peers.kept),
+		HealthPath: d.settings.TargetHealthPath,
+	})
+	service, err := keys.New(keys.Config{
+		Self:    d.self,
+		View:    d.view,
+		Table:   client,
+		Metrics: d.metrics,
+		Keys:    d.peers.keys,
+		Runner:  keyedAttempts{d.inbound},
+	})
+	d.keys = service
+	return err
+}
+
+func (d *Daemon) newKeysClient(client *platform.Client) *keys.Client {
+	return keys.NewClient(keys.ClientConfig{Self: d.self, View: d.view, Table: client, Keys: d.peers.keys})
+}
+
 func (d *Daemon) newControl(client *platform.Client) error {
 	node, err := control.New(control.Config{
 		Self:            d.self,
 		Seeds:           d.settings.Seeds,
 		EntryServices:   d.settings.EntryServices,
 		Table:           client,
-		Objects:         client,
+		Objects:         client.Objects(),
 		ParseList:       servicelist.Parse,
 		Client:          d.peers.control,
 		View:            d.view,
@@ -129,7 +186,14 @@
 	defer stop()
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error { return d.control.Run(running) })
-	group.Go(func() error { return d.keys.Run(running) })
+	group.Go(func() error {
+		d.keys.Run(running)
+		return nil
+	})
+	group.Go(func() error {
+		d.inbound.WatchHealth(running)
+		return nil
+	})
 	d.listeners.serve(group)
 	klog.Infof("node %s serves service %s: entry %s, peers %s, admin %s", d.self.ID, d.self.Service,
 		d.settings.EntryAddr, d.settings.PeerAddr, d.settings.AdminAddr)
@@ -176,6 +240,7 @@
 	d.listeners.close()
 	d.policies.Close()
 	d.transport.Close()
+	d.inbound.Close()
 	d.peers.close()
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -50,10 +50,6 @@
 	return rpc.NewKeysProtobufClient(baseURL(addr), p.kept)
 }
 
-func (p *peerClients) quarantine(addr string) rpc.Quarantine {
-	return rpc.NewQuarantineProtobufClient(baseURL(addr), p.kept)
-}
-
 // attemptsOnNewConnection asks on a connection of its own, since the pooled ones may be silent.
 func (p *peerClients) attemptsOnNewConnection(addr string) rpc.Attempts {
 	return rpc.NewAttemptsProtobufClient(baseURL(addr), p.fresh)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net"
 	"net/http"
 	"strconv"
@@ -118,12 +117,6 @@
 	return context.WithDeadline(c.request.Context(), c.deadline)
 }
 
-// fingerprint identifies what a key was used for.
-func (c *call) fingerprint() []byte {
-	digest := sha256.Sum256([]byte(c.request.Method + " " + c.request.URL.RequestURI()))
-	return digest[:16]
-}
-
 func serviceName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/balance"
-	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/keys"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
-// claimPause is the wait before a claim is repeated that the owner could not decide yet.
-const claimPause = 50 * time.Millisecond
+// arrivalPause is how long an attempt that was granted to another copy of the call may take to arrive.
+const arrivalPause = 50 * time.Millisecond
 
 // maxClaims bounds the claims of one call.
 const maxClaims = 8
@@ -38,17 +38,17 @@
 	handler  *Handler
 	call     *call
 	policy   *Policy
-	replaces []byte // attempt that holds the key and is proven not to have run
+	replaces wire.AttemptID // attempt that holds the key and is proven not to have run
 	last     *failure.Error
 }
 
 // claimOnce claims the key for one attempt and follows it. It reports false when another claim should be made.
 func (k *keyedCall) claimOnce(ctx context.Context) (result, bool) {
-	ownership, err := k.handler.config.Keys.Owner(ctx, k.call.service.Name, k.call.key)
+	roster, err := k.handler.config.Keys.Roster(ctx, k.call.service.Name)
 	if err != nil {
-		return k.refusedClaim(ctx, asFailure(err))
+		return k.refusedClaim(asFailure(err)), true
 	}
-	pick, err := k.pick(ownership)
+	pick, err := k.pick(roster)
 	if err != nil {
 		return result{failed: asFailure(err)}, true
 	}
@@ -56,30 +56,30 @@
 	grant, err := k.handler.config.Keys.Claim(ctx, keys.ClaimArgs{
 		Service:     k.call.service.Name,
 		Key:         k.call.key,
-		Fingerprint: k.call.fingerprint(),
-		Attempt:     id[:],
+		Fingerprint: wire.CallFingerprint(k.call.request.Method, k.call.request.URL.EscapedPath()),
+		Attempt:     id,
 		Runner:      pick.Member.ID,
 		Replaces:    k.replaces,
 	})
 	switch {
 	case err != nil:
 		pick.Done(balance.Result{Class: balance.Cancelled})
-		return k.refusedClaim(ctx, asFailure(err))
+		return k.refusedClaim(asFailure(err)), true
 	case grant.Granted:
 		return k.run(ctx, pick, id, grant)
 	default:
 		pick.Done(balance.Result{Class: balance.Cancelled})
-		return k.taken(ctx, grant)
+		return k.taken(ctx, grant.Taken)
 	}
 }
 
 // pick chooses a runner among the roster's members. It is not the key's owner unless that is the only member, so that
 // one crash can't lose both copies of the record.
-func (k *keyedCall) pick(ownership keys.Ownership) (balance.Pick, error) {
-	exclude := append([]string(nil), k.call.tried...)
+func (k *keyedCall) pick(roster *keys.Roster) (balance.Pick, error) {
+	exclude := slices.Clone(k.call.tried)
 	allowed := map[string]bool{}
-	for _, runner := range ownership.Runners {
-		allowed[runner] = true
+	for _, runner := range roster.Runners(k.call.key) {
+		allowed[runner.ID] = true
 	}
 	for _, member := range k.call.snapshot.Members[k.call.service.Name] {
 		if !allowed[member.ID] {
@@ -89,29 +89,23 @@
 	return k.policy.balancer.Pick(balance.Request{Exclude: exclude, Region: k.call.service.HomeRegion})
 }
 
-// refusedClaim decides whether a refused claim is repeated: the owner may be collecting records or behind a roster.
-func (k *keyedCall) refusedClaim(ctx context.Context, failed *failure.Error) (result, bool) {
-	k.last = failed
+// refusedClaim answers a claim that the owner did not decide. Nothing of this call ran, but an earlier call with the
+// same key may have, so the outcome is unknown unless the owner has looked the key up.
+func (k *keyedCall) refusedClaim(failed *failure.Error) result {
 	switch failed.Reason {
-	case failure.KeyOwnerNotReady, failure.KeyRosterMismatch, failure.KeyOwnerGone, failure.KeyAuthorityLapsed:
+	case failure.KeyOwnerGone, failure.KeyOwnerNotReady, failure.KeyRosterMismatch, failure.KeyAuthorityLapsed:
+		return result{failed: failure.Wrap(failed, failed.Reason, failure.Unknown, "the key's owner can't tell whether an earlier call with the key ran")}
 	default:
-		return result{failed: failed}, true
+		return result{failed: failed}
 	}
-	if failed.Outcome != failure.NotRun || !k.pause(ctx) {
-		return result{failed: failed}, true
-	}
-	k.handler.config.Metrics.Retried(failed.Reason)
-	return result{}, false
 }
 
-func (k *keyedCall) pause(ctx context.Context) bool {
-	timer := time.NewTimer(claimPause)
+func (k *keyedCall) pause(ctx context.Context) {
+	timer := time.NewTimer(arrivalPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return true
 	}
 }
 
@@ -125,7 +119,7 @@
 		return ended, true
 	}
 	k.last = ended.failed
-	k.replaces = id[:]
+	k.replaces = id
 	if ended.failed.Reason == failure.Fenced {
 		// Another copy of the call fenced this attempt and may have run the key since, so not-run can't be said
 		// before the owner was asked again.
@@ -136,44 +130,48 @@
 }
 
 // taken gets the answer of the attempt that holds the key, or makes sure that it never runs.
-func (k *keyedCall) taken(ctx context.Context, grant keys.Grant) (result, bool) {
-	if grant.Answer != nil {
-		return result{kept: grant.Answer}, true
-	}
-	if grant.TakenState == rpc.AttemptState_ATTEMPT_DONE {
+func (k *keyedCall) taken(ctx context.Context, taken keys.Taken) (result, bool) {
+	switch {
+	case taken.Answer != nil:
+		return result{kept: taken.Answer}, true
+	case taken.State == rpc.AttemptState_ATTEMPT_DONE:
 		return result{failed: notKept()}, true
+	case taken.RunnerAddr == "":
+		return result{failed: runnerGone(nil, taken)}, true
 	}
-	runner, known := k.runner(grant)
-	if !known {
-		return result{failed: failure.New(failure.KeyRunnerGone, failure.Unknown, "node %s, which was to run the key's first request, is gone", grant.TakenRunner)}, true
-	}
-	return k.takenAt(ctx, runner, grant)
-}
-
-func (k *keyedCall) takenAt(ctx context.Context, runner cluster.Member, grant keys.Grant) (result, bool) {
-	h := k.handler
-	state, err := h.fence(ctx, runner.PeerAddr, runner.ID, grant.TakenAttempt, false)
+	state, err := k.takenState(ctx, taken)
 	if err != nil {
-		return result{failed: failure.Wrap(err, failure.KeyRunnerGone, failure.Unknown, "node %s, which was to run the key's first request, doesn't answer", runner.ID)}, true
+		return result{failed: runnerGone(err, taken)}, true
 	}
 	switch state {
 	case rpc.AttemptState_ATTEMPT_NOT_RUN:
-		k.replaces = grant.TakenAttempt
-		k.last = failure.New(failure.KeyInProgress, failure.NotRun, "the key's earlier attempt did not run")
+		k.replaces = taken.Attempt
+		k.last = failure.New(failure.KeyInProgress, failure.Unknown, "another call with the same key is in progress")
 		return result{}, false
 	case rpc.AttemptState_ATTEMPT_RUNNING, rpc.AttemptState_ATTEMPT_DONE:
-		return k.answerOf(ctx, runner, grant), true
+		return k.answerOf(ctx, taken), true
 	default:
-		return result{failed: failure.New(failure.KeyRunnerGone, failure.Unknown, "node %s can't tell whether the key's first request ran", runner.ID)}, true
+		return result{failed: runnerGone(nil, taken)}, true
 	}
 }
 
+// takenState asks the runner about the attempt that holds the key. One that did not arrive yet gets a moment, since
+// two copies of a call that fence each other's attempts would make no progress; then it is fenced.
+func (k *keyedCall) takenState(ctx context.Context, taken keys.Taken) (rpc.AttemptState, error) {
+	state, err := k.handler.fence(ctx, taken.RunnerAddr, taken.Runner, taken.Attempt[:], true)
+	if err != nil || state != rpc.AttemptState_ATTEMPT_NEVER_SEEN {
+		return state, err
+	}
+	k.pause(ctx)
+	return k.handler.fence(ctx, taken.RunnerAddr, taken.Runner, taken.Attempt[:], false)
+}
+
 // answerOf waits for the answer of the attempt that runs or ran.
-func (k *keyedCall) answerOf(ctx context.Context, runner cluster.Member, grant keys.Grant) result {
-	answer, state, err := k.handler.fetchAnswer(ctx, runner.PeerAddr, runner.ID, grant.TakenAttempt, k.call.left())
+func (k *keyedCall) answerOf(ctx context.Context, taken keys.Taken) result {
+	answer, state, err := k.handler.fetchAnswer(ctx, taken.RunnerAddr, taken.Runner, taken.Attempt[:], k.call.left())
 	switch {
 	case err != nil:
-		return result{failed: failure.Wrap(err, failure.KeyRunnerGone, failure.Unknown, "node %s doesn't answer", runner.ID)}
+		return result{failed: runnerGone(err, taken)}
 	case answer != nil:
 		return result{kept: answer}
 	case state == rpc.AttemptState_ATTEMPT_DONE:
@@ -181,7 +179,7 @@
 	case state == rpc.AttemptState_ATTEMPT_RUNNING:
 		return result{failed: failure.New(failure.KeyInProgress, failure.Unknown, "the key's first request is still running")}
 	default:
-		return result{failed: failure.New(failure.KeyRunnerGone, failure.Unknown, "the target broke while it ran the key's first request")}
+		return result{failed: failure.New(failure.TargetBroke, failure.Unknown, "the target broke while it ran the key's first call")}
 	}
 }
 
@@ -189,12 +187,6 @@
 	return failure.New(failure.AnswerNotKept, failure.Done, "the key's request ran, its answer was too large to keep")
 }
 
-// runner finds the member that holds the key's attempt, by the address that the owner gave or among the known members.
-func (k *keyedCall) runner(grant keys.Grant) (cluster.Member, bool) {
-	for _, member := range k.call.snapshot.Members[k.call.service.Name] {
-		if member.ID == grant.TakenRunner {
-			return member, true
-		}
-	}
-	return cluster.Member{}, false
+func runnerGone(cause error, taken keys.Taken) *failure.Error {
+	return failure.Wrap(cause, failure.KeyRunnerGone, failure.Unknown, "node %s can't tell whether it ran the key's first call", taken.Runner)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -19,7 +19,7 @@
 // is not repeated: the outcome is unknown and the caller may send the key again.
 func (h *Handler) relay(ctx context.Context, c *call) result {
 	policy := h.config.Policies.For(c.service)
-	last := failure.New(failure.KeyOwnerGone, failure.NotRun, "no node of region %q is known", c.service.HomeRegion)
+	last := failure.New(failure.KeyOwnerGone, failure.Unknown, "no node of region %q is known", c.service.HomeRegion)
 	for range maxRelays {
 		pick, err := policy.balancer.Pick(balance.Request{Exclude: c.tried, Region: c.service.HomeRegion})
 		if err != nil {
@@ -32,10 +32,11 @@
 		}
 		last = failed
 		if failed.Outcome != failure.NotRun {
-			break
+			return result{failed: failed}
 		}
 	}
-	return result{failed: last}
+	// Nothing of this call ran, but an earlier call with the same key may have.
+	return result{failed: failure.Wrap(last, last.Reason, failure.Unknown, "the home region can't be asked whether the key ran")}
 }
 
 // relayTo passes the call to one node.
--- a/internal/inbound/rpc.go
+++ b/internal/inbound/rpc.go
@@ -37,10 +37,22 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.GetQuery() {
+		return &rpc.FenceResponse{State: h.query(id, request.GetMemberId())}, nil
+	}
 	state := h.ledger.Fence(id, request.GetMemberId())
 	return &rpc.FenceResponse{State: rpcState(state)}, nil
 }
 
+// query tells the state of an attempt and leaves no tombstone.
+func (h *Handler) query(id wire.AttemptID, memberID string) rpc.AttemptState {
+	state, seen := h.ledger.Query(id, memberID)
+	if !seen {
+		return rpc.AttemptState_ATTEMPT_NEVER_SEEN
+	}
+	return rpcState(state)
+}
+
 // FetchAnswer implements rpc.Attempts. ATTEMPT_UNKNOWN also stands for an attempt that was never seen; a fence tells
 // the two apart.
 func (h *Handler) FetchAnswer(
