--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -11,6 +11,13 @@
 	"github.com/acacialock/acacialock/internal/quarantine"
 )
 
+const (
+	// discardBytes bounds the rest of a body that is read to keep the connection.
+	discardBytes = 256 << 10
+	// discardTime bounds the wait for that rest. Small bodies have arrived with their header.
+	discardTime = 5 * time.Millisecond
+)
+
 // errBodyClosed is returned to the transport when the exchange ended before the request's body.
 var errBodyClosed = errors.New("the exchange ended before the request's body")
 
@@ -109,11 +116,43 @@
 	return b.err
 }
 
-// finish ends the reads, so that none runs after the handler returned.
-func (b *requestBody) finish() {
+// newRequestBody reads the body of a forwarded request, also after the answer began.
+func newRequestBody(w http.ResponseWriter, r *http.Request) *requestBody {
+	body := &requestBody{source: r.Body, length: r.ContentLength, control: http.NewResponseController(w)}
+	if body.length != 0 {
+		_ = body.control.EnableFullDuplex() // fails for HTTP/2 only, which needs no such call
+	}
+	return body
+}
+
+// finish ends the reads, so that none runs after the handler returned. What is left of the body is read if it is there
+// already; otherwise the connection can't be used again, which the header says if it was not sent yet.
+//
+// The rest must not be left to the server: with full duplex, its own read to the body's end made the next request on the
+// connection panic with "invalid concurrent Body.Read call" (Go 1.26).
+func (b *requestBody) finish(header http.Header) {
+	if b.length == 0 {
+		return
+	}
 	b.interrupt()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.err == io.EOF || b.err == nil && b.discard() {
+		return
+	}
+	_ = b.control.SetReadDeadline(time.Unix(1, 0))
+	header.Set("Connection", "close")
+}
+
+// discard reads the rest of a body that arrived already, and reports whether it did. The mutex is held.
+func (b *requestBody) discard() bool {
+	_ = b.control.SetReadDeadline(time.Now().Add(discardTime))
+	_, err := io.CopyN(io.Discard, b.source, discardBytes)
+	if err != io.EOF {
+		return false
+	}
+	_ = b.control.SetReadDeadline(time.Time{})
+	return true
 }
 
 // interrupt lets the reads fail from now on. One that waits for the caller is ended by a deadline in the past, after
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -31,38 +31,24 @@
 	mu       sync.Mutex
 	answered bool // the final header was written, no informational one may follow
 	conn     *quarantine.Conn
-	use      uint64 // of conn
-	written  int64  // on conn when the request got it
-	sent     bool   // bytes of the request were written to a connection that it had before
+	written  int64 // on conn when the request got it
+	sent     bool  // bytes of the request were written to a connection that it had before
 }
 
 func newExchange(
-	h *Handler, w http.ResponseWriter, r *http.Request, in *incoming, recorded *attempt.Attempt,
+	h *Handler, w http.ResponseWriter, r *http.Request, in *incoming, recorded *attempt.Attempt, body *requestBody,
 ) *exchange {
 	digest := quarantine.NewDigest(h.config.Self.Service, r.Method, in.url.RequestURI())
 	if r.ContentLength == 0 {
 		digest.End()
 	}
-	return &exchange{
-		handler: h,
-		w:       w,
-		r:       r,
-		in:      in,
-		attempt: recorded,
-		digest:  digest,
-		body: &requestBody{
-			source:   r.Body,
-			digest:   digest,
-			length:   r.ContentLength,
-			control:  http.NewResponseController(w),
-			deadline: in.deadline,
-		},
-	}
+	body.digest = digest
+	body.deadline = in.deadline
+	return &exchange{handler: h, w: w, r: r, in: in, attempt: recorded, digest: digest, body: body}
 }
 
 // run returns a failure that is to be answered, or nil when an answer was sent.
 func (e *exchange) run() *failure.Error {
-	defer e.body.finish()
 	defer e.leave()
 	if refused := e.admit(); refused != nil {
 		e.attempt.Refuse()
@@ -211,7 +197,6 @@
 			watch.Sent()
 			e.gotConn(info.Conn.(*quarantine.Conn))
 		},
-		PutIdleConn:    e.putConn,
 		Got1xxResponse: e.inform,
 	}
 }
@@ -221,18 +206,10 @@
 	defer e.mu.Unlock()
 	e.sent = e.wrote()
 	e.conn = conn
-	e.use = conn.Use(e.targetClosed)
+	conn.OnBreak(e.targetClosed)
 	e.written = conn.Written()
 }
 
-func (e *exchange) putConn(err error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err == nil && e.conn != nil {
-		e.conn.SetIdle(e.use)
-	}
-}
-
 // targetClosed ends the reads of the request's body when the target closed the connection before its answer. The
 // transport waits for them, for ever if the caller sends nothing more.
 func (e *exchange) targetClosed() {
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -78,7 +78,10 @@
 }
 
 // Close closes the idle connections to the target.
-func (h *Handler) Close() { h.target.Load().transport.CloseIdleConnections() }
+func (h *Handler) Close() {
+	h.guard.Close()
+	h.target.Load().transport.CloseIdleConnections()
+}
 
 // Sample returns the current load.
 func (h *Handler) Sample() wire.LoadSample { return h.gate.Sample() }
@@ -90,23 +93,24 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.applyLimits()
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex() // fails for HTTP/2 only, which needs no such call
+	if refused := h.serve(w, r); refused != nil {
+		h.refuse(w, refused)
 	}
+}
+
+// serve returns a failure that is to be answered, or nil when an answer was sent.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) *failure.Error {
+	body := newRequestBody(w, r)
+	defer body.finish(w.Header())
 	in, refused := h.parse(r)
 	if refused != nil {
-		h.refuse(w, refused)
-		return
+		return refused
 	}
 	recorded, refused := h.ledger.Begin(in.call)
 	if refused != nil {
-		h.refuse(w, refused)
-		return
-	}
-	e := newExchange(h, w, r, in, recorded)
-	if refused := e.run(); refused != nil {
-		h.refuse(w, refused)
+		return refused
 	}
+	return newExchange(h, w, r, in, recorded, body).run()
 }
 
 // applyLimits takes over changed limits of the service list.
@@ -125,7 +129,8 @@
 	if slots <= 0 {
 		slots = admission.DefaultSlots
 	}
-	h.gate.SetLimits(admission.Limits{Slots: min(slots, connections), Queue: limits.Queue})
+	slots = min(slots, requestConnections(connections))
+	h.gate.SetLimits(admission.Limits{Slots: slots, Queue: limits.Queue})
 	old := h.target.Load()
 	if old.connections == connections {
 		return
--- a/internal/inbound/target.go
+++ b/internal/inbound/target.go
@@ -25,6 +25,9 @@
 	transport   *http.Transport
 }
 
+// requestConnections is the part of the limit that is left beside the sentinel's connection.
+func requestConnections(limit int) int { return max(1, limit-1) }
+
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
 func newTarget(addr string, dial dialFunc, connections int) *target {
@@ -34,8 +37,8 @@
 		transport: &http.Transport{
 			DialContext:           dial,
 			DisableCompression:    true,
-			MaxConnsPerHost:       connections,
-			MaxIdleConnsPerHost:   connections,
+			MaxConnsPerHost:       requestConnections(connections),
+			MaxIdleConnsPerHost:   requestConnections(connections),
 			IdleConnTimeout:       idleConnTimeout,
 			ExpectContinueTimeout: expectTimeout,
 		},
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// Close ends the watch over the target.
+func (g *Guard) Close() { g.monitor.sentinel.close() }
+
 // Store holds the suspects that the node knows.
 func (g *Guard) Store() *Store { return g.store }
 
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -20,6 +20,7 @@
 // Begin starts the watch over a request that passed.
 func (g *Guard) Begin(pass *Pass, digest *Digest) *Run {
 	run := &Run{guard: g, pass: pass, digest: digest}
+	g.monitor.keepSentinel()
 	g.monitor.mu.Lock()
 	defer g.monitor.mu.Unlock()
 	g.monitor.runs[run] = struct{}{}
@@ -42,7 +43,6 @@
 	m.mu.Lock()
 	r.broken = true
 	m.mu.Unlock()
-	m.noteBreak()
 	if !r.pass.alone && !m.died(ctx, at) {
 		return r.joined()
 	}
