keys: simulate the roster protocol under faults

A rapid state machine drives real services over a virtual clock, table and network; it checks at-most-once, the truth of not-run, and progress.

--- /dev/null
+++ b/internal/keys/protocol_test.go
@@ -0,0 +1,150 @@
+package keys
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/failure"
+)
+
+// fixRapid makes rapid draw the same cases in each run; flags given on the command line win.
+func fixRapid(t *testing.T, seed, checks, steps string) {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": steps, "rapid.nofailfile": "true"} {
+		if !given[name] {
+			assert.NilError(t, flag.Set(name, value))
+		}
+	}
+}
+
+// TestProtocol guards against every fault of the roster protocol by which a key runs twice, not-run is told of an
+// attempt that ran, or owners stop for good after the faults end.
+func TestProtocol(t *testing.T) {
+	fixRapid(t, "20260101", "60", "40")
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "home"), rapid.IntRange(0, 2).Draw(t, "other"), 3)
+		s.advance(rapid.SampledFrom([]time.Duration{time.Second, 25 * time.Second}).Draw(t, "warm"))
+		t.Repeat(s.actions())
+		s.heal()
+		s.advance(rateMargin(simGmax+simG) + 2*time.Minute)
+		s.checkProgress(t)
+	})
+}
+
+func (s *sim) actions() map[string]func(*rapid.T) {
+	node := func(t *rapid.T) *simNode { return s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")] }
+	advance := func(low, high int) func(*rapid.T) {
+		return func(t *rapid.T) { s.advance(time.Duration(rapid.IntRange(low, high).Draw(t, "ms")) * time.Millisecond) }
+	}
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			if s.violation != "" {
+				t.Fatalf("after %v: %s", s.now, s.violation)
+			}
+		},
+		"advance":      advance(100, 5_000),
+		"advanceG":     advance(5_000, 25_000),
+		"advanceGmax":  advance(20_000, 80_000),
+		"partition":    func(t *rapid.T) { s.partition(rapid.Uint64().Draw(t, "sides")) },
+		"partition2":   func(t *rapid.T) { s.partition(rapid.Uint64().Draw(t, "sides")) },
+		"cutTable":     func(t *rapid.T) { s.cutBoth(node(t).index, s.tableAt.index) },
+		"cutOneWay":    func(t *rapid.T) { s.cut[[2]int{node(t).index, node(t).index}] = true },
+		"reconnect":    func(*rapid.T) { clear(s.cut) },
+		"tableDown":    func(*rapid.T) { s.tableDown = true },
+		"tableUp":      func(*rapid.T) { s.tableDown = false },
+		"crash":        func(t *rapid.T) { s.crash(node(t)) },
+		"crashTwo":     func(t *rapid.T) { s.crash(node(t)); s.crash(node(t)) },
+		"restart":      func(t *rapid.T) { n := node(t); s.crash(n); s.boot(n) },
+		"pause":        func(t *rapid.T) { n := node(t); n.pausedUntil = s.now + s.between(0, 40*time.Second) },
+		"leave":        func(t *rapid.T) { s.leave(node(t)) },
+		"moveHome":     func(*rapid.T) { s.moveHome() },
+		"network":      func(t *rapid.T) { s.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss"); s.dup = s.loss },
+		"networkClean": func(*rapid.T) { s.loss, s.dup = 0, 0 },
+	}
+}
+
+// partition puts each place on one of two sides.
+func (s *sim) partition(sides uint64) {
+	clear(s.cut)
+	places := len(s.nodes) + 1 + len(s.entries)
+	for i := range places {
+		for j := range i {
+			if sides>>i&1 != sides>>j&1 {
+				s.cutBoth(i, j)
+			}
+		}
+	}
+}
+
+func (s *sim) cutBoth(i, j int) {
+	s.cut[[2]int{i, j}] = true
+	s.cut[[2]int{j, i}] = true
+}
+
+func (s *sim) crash(n *simNode) {
+	n.proc = nil
+	s.publishViews()
+}
+
+func (s *sim) leave(n *simNode) {
+	if n.proc != nil {
+		n.proc.leave = true
+		n.proc.machine.wantLeave = true
+		s.publishViews()
+	}
+}
+
+func (s *sim) moveHome() {
+	if s.nodes[len(s.nodes)-1].region == "r1" {
+		return
+	}
+	s.home = map[string]string{"r1": "r2", "r2": "r1"}[s.home]
+	s.publishViews()
+}
+
+// heal ends all faults and starts the nodes that are down.
+func (s *sim) heal() {
+	clear(s.cut)
+	s.loss, s.dup, s.tableDown = 0, 0, false
+	for _, n := range s.nodes {
+		n.pausedUntil = min(n.pausedUntil, s.now)
+		if n.proc == nil {
+			s.boot(n)
+		}
+	}
+}
+
+// checkProgress claims new keys; each must run, unless it may have run at members that are lost.
+func (s *sim) checkProgress(t *rapid.T) {
+	for i := range 10 {
+		key := fmt.Sprintf("new-%d", i)
+		var outcomes []string
+		for range 5 {
+			s.request(s.entries[0], key, func(outcome string) { outcomes = append(outcomes, outcome) })
+			s.advance(10 * time.Second)
+		}
+		ended := slices.Contains(outcomes, "done") || slices.Contains(outcomes, string(failure.KeyHistoryLost))
+		if s.violation != "" || !ended {
+			t.Fatalf("key %s did not run after the faults: %v; violation %q\n%s", key, outcomes, s.violation, s.describe())
+		}
+	}
+}
+
+func (s *sim) describe() string {
+	text := fmt.Sprintf("now %v, home %s, row %s\n", s.now, s.home, s.table.rows["roster/orders"].Value)
+	for _, n := range s.nodes {
+		if p := n.proc; p != nil {
+			m := p.machine
+			text += fmt.Sprintf("%s: known %s, installed %d, activated %t, until %v, needs %v, out %t\n", p.id, m.status().Roster,
+				m.status().RosterVersion, m.activated, p.gate.until.Sub(n.Now()), m.needs, m.out())
+		}
+	}
+	return text
+}
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -24,6 +24,8 @@
 	posts   chan func(now time.Time)
 	stopped chan struct{}
 	calls   sync.WaitGroup
+	// call runs do on the goroutine that owns the machine and waits for its end.
+	call func(ctx context.Context, do func(now time.Time)) error
 }
 
 // New checks the settings and returns a service that acts once Run runs. It fails with *ConfigError.
@@ -36,6 +38,7 @@
 	s.gate = &gate{self: cfg.Self.ID, service: cfg.Self.Service}
 	s.records = newStore(cfg.Clock.Now(), cfg.MaxRecords, cfg.MaxBytes)
 	s.machine = newMachine(&s.cfg, s.gate, s.records)
+	s.call = s.postAndWait
 	return s, nil
 }
 
@@ -87,8 +90,8 @@
 	return false
 }
 
-// call runs do on the goroutine of Run and waits for its end.
-func (s *Service) call(ctx context.Context, do func(now time.Time)) error {
+// postAndWait runs do on the goroutine of Run and waits for its end.
+func (s *Service) postAndWait(ctx context.Context, do func(now time.Time)) error {
 	done := make(chan struct{})
 	if !s.post(ctx, func(now time.Time) { do(now); close(done) }) {
 		return twirp.Unavailable.Error("the key service is not running")
--- /dev/null
+++ b/internal/keys/sim_test.go
@@ -0,0 +1,362 @@
+package keys
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/servicelist"
+)
+
+// Times of the simulation. Late messages stay below half of simGrantLife, as section 7 assumes.
+const (
+	simG         = 10 * time.Second
+	simGmax      = 60 * time.Second
+	simWindow    = 120 * time.Second
+	simGrantLife = 60 * time.Second
+	simTimeout   = time.Second
+	simLate      = 20 * time.Second
+)
+
+var (
+	simBase = time.Unix(1_000_000, 0)
+	errSim  = errors.New("no answer")
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// place is one machine of the network; the table and the entry nodes have one too.
+type place struct {
+	index       int
+	pausedUntil time.Duration
+}
+
+// sim is a deterministic world: one virtual clock, nodes, a table, entry nodes and a faulty network.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Duration
+	seq       int
+	queue     events
+	table     *simTable
+	tableAt   place
+	tableDown bool
+	nodes     []*simNode
+	entries   []*place
+	cut       map[[2]int]bool
+	loss, dup float64
+	home      string
+	started   int
+	attempts  uint64
+	runs      map[string][]run
+	ran       map[string]bool // by attempt
+	notRun    map[string]bool // by attempt: told to a caller
+	outcomes  map[string]int
+	violation string
+}
+
+type run struct {
+	attempt string
+	at      time.Duration
+}
+
+// simNode is one place for a member; a restart replaces its process.
+type simNode struct {
+	place
+	sim    *sim
+	name   string
+	region string
+	rate   float64
+	proc   *proc // nil while it is down
+}
+
+// proc is one incarnation of a node.
+type proc struct {
+	*Service
+	node   *simNode
+	id     string
+	ledger map[string]*KeyedAttempt
+	began  map[string]time.Duration
+	leave  bool
+}
+
+// Now implements Clock: it runs at the node's own rate from its own origin.
+func (n *simNode) Now() time.Time {
+	return simBase.Add(time.Duration(n.index)*time.Hour + time.Duration(float64(n.sim.now)*n.rate))
+}
+
+// KeyedAttempts implements Runner.
+func (p *proc) KeyedAttempts() []KeyedAttempt {
+	var listed []KeyedAttempt
+	for id, a := range p.ledger {
+		age := p.node.sim.now - p.began[id]
+		if a.Key == "" || age > rateMargin(simWindow) {
+			continue
+		}
+		a.Age = age
+		listed = append(listed, *a)
+	}
+	slices.SortFunc(listed, func(a, b KeyedAttempt) int { return slices.Compare(a.Attempt, b.Attempt) })
+	return listed
+}
+
+func newSim(seed uint64, home, other, entries int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), table: &simTable{rows: map[string]platform.Row{}}, cut: map[[2]int]bool{},
+		home: "r1", runs: map[string][]run{}, ran: map[string]bool{}, notRun: map[string]bool{}, outcomes: map[string]int{}}
+	for i := range home + other {
+		n := &simNode{sim: s, name: fmt.Sprintf("n%d", i), region: "r1", rate: 0.955 + 0.09*s.rng.Float64()}
+		n.index = i
+		if i >= home {
+			n.region = "r2"
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	s.tableAt.index = len(s.nodes)
+	for i := range entries {
+		s.entries = append(s.entries, &place{index: len(s.nodes) + 1 + i})
+	}
+	for _, n := range s.nodes {
+		s.boot(n)
+	}
+	for i := range s.entries {
+		s.load(i)
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now + d, seq: s.seq, do: do})
+}
+
+// at runs do at the place, later if it is paused.
+func (s *sim) at(p *place, d time.Duration, do func()) {
+	s.after(d, func() {
+		if s.now < p.pausedUntil {
+			s.at(p, p.pausedUntil-s.now, do)
+			return
+		}
+		do()
+	})
+}
+
+func (s *sim) advance(d time.Duration) {
+	end := s.now + d
+	for s.violation == "" && len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(event)
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+func (s *sim) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)+1))
+}
+
+func (s *sim) delay() time.Duration {
+	if s.loss > 0 && s.chance(0.03) {
+		return s.between(0, simLate)
+	}
+	return s.between(time.Millisecond, 40*time.Millisecond)
+}
+
+// call sends a request that may be lost, late or duplicated; exec runs at the other place and returns false when nobody
+// answers there. done runs once, at the caller.
+func (s *sim) call(from, to *place, exec func() bool, done func(ok bool)) {
+	answered := false
+	finish := func(ok bool) {
+		if !answered {
+			answered = true
+			done(ok)
+		}
+	}
+	s.at(from, simTimeout, func() { finish(false) })
+	copies := 1
+	if s.chance(s.dup) {
+		copies = 2
+	}
+	for i := range copies {
+		if s.chance(s.loss) {
+			continue
+		}
+		s.at(to, s.delay(), func() {
+			if s.cut[[2]int{from.index, to.index}] || !exec() || i > 0 {
+				return
+			}
+			if !s.chance(s.loss) && !s.cut[[2]int{to.index, from.index}] {
+				s.at(from, s.delay(), func() { finish(true) })
+			}
+		})
+	}
+}
+
+// boot starts a new incarnation.
+func (s *sim) boot(n *simNode) {
+	s.started++
+	p := &proc{node: n, id: fmt.Sprintf("%s@%d", n.name, s.started), ledger: map[string]*KeyedAttempt{}, began: map[string]time.Duration{}}
+	n.proc = p
+	self := cluster.Member{ID: p.id, Service: "orders", Region: n.region, PeerAddr: n.name}
+	service, err := New(Config{Self: self, View: cluster.NewView(s.snapshot()), Table: s.table, Runner: p, G: simG, Gmax: simGmax,
+		GrantLife: simGrantLife, Clock: n, Seed: uint64(s.started), Keys: func(addr string) rpc.Keys { return s.byName(addr).proc }})
+	if err != nil {
+		panic(err)
+	}
+	p.Service = service
+	service.call = func(_ context.Context, do func(time.Time)) error { do(n.Now()); return nil }
+	s.publishViews()
+	s.tick(p)
+	s.control(p)
+}
+
+func (s *sim) byName(name string) *simNode {
+	i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.name == name })
+	return s.nodes[i]
+}
+
+func (s *sim) snapshot() *cluster.Snapshot {
+	var members []cluster.Member
+	for _, n := range s.nodes {
+		if n.proc != nil {
+			members = append(members, cluster.Member{ID: n.proc.id, Service: "orders", Region: n.region, PeerAddr: n.name, Draining: n.proc.leave})
+		}
+	}
+	entry := &servicelist.Service{Name: "orders", HomeRegion: s.home, ResendWindow: simWindow}
+	return &cluster.Snapshot{List: &servicelist.List{Services: map[string]*servicelist.Service{"orders": entry}},
+		Members: map[string][]cluster.Member{"orders": members}}
+}
+
+// publishViews tells each node of the present members and home region, at different times.
+func (s *sim) publishViews() {
+	snapshot := s.snapshot()
+	for _, n := range s.nodes {
+		if p := n.proc; p != nil && p.Service != nil {
+			s.at(&n.place, s.between(0, 7*time.Second), func() { p.cfg.View.Publish(snapshot) })
+		}
+	}
+}
+
+func (s *sim) tick(p *proc) {
+	if p.node.proc != p {
+		return
+	}
+	for _, c := range p.machine.tick(p.node.Now()) {
+		s.perform(p, c)
+	}
+	p.records.sweepNext(p.node.Now(), keepTime(&p.cfg))
+	if p.leave && p.machine.out() {
+		p.node.proc = nil
+		s.after(s.between(time.Second, 20*time.Second), func() {
+			if p.node.proc == nil {
+				s.boot(p.node)
+			}
+		})
+		return
+	}
+	s.at(&p.node.place, s.between(150*time.Millisecond, 250*time.Millisecond), func() { s.tick(p) })
+}
+
+func (s *sim) perform(p *proc, c call) {
+	to, target := &s.tableAt, (*simNode)(nil)
+	if c.peer != "" {
+		target = s.byName(c.addr)
+		to = &target.place
+	}
+	r := result{call: c}
+	exec := func() bool {
+		if target == nil && s.tableDown || target != nil && (target.proc == nil || target.proc.id != c.peer) {
+			return false
+		}
+		r = perform(context.Background(), &p.cfg, c)
+		return true
+	}
+	s.call(&p.node.place, to, exec, func(ok bool) {
+		if p.node.proc != p {
+			return
+		}
+		if !ok {
+			r = result{call: c, err: errSim}
+		}
+		p.machine.finish(p.node.Now(), r)
+	})
+}
+
+// control confirms the roster from the index row, as zone leaders do.
+func (s *sim) control(p *proc) {
+	if p.node.proc != p {
+		return
+	}
+	asOf := p.node.Now()
+	commit := uint64(0)
+	exec := func() bool {
+		index := cluster.RosterIndexRow{}
+		if row, ok := s.table.rows[cluster.RosterIndexKey]; ok && !s.tableDown {
+			_ = json.Unmarshal(row.Value, &index) // a wrong value confirms nothing
+		}
+		commit = index.Commits["orders"]
+		return commit != 0
+	}
+	s.call(&p.node.place, &s.tableAt, exec, func(ok bool) {
+		if ok && p.node.proc == p {
+			p.machine.confirm(p.node.Now(), commit, asOf)
+		}
+	})
+	s.at(&p.node.place, s.between(800*time.Millisecond, 1500*time.Millisecond), func() { s.control(p) })
+}
+
+// simTable is a transactional table in memory.
+type simTable struct {
+	rows    map[string]platform.Row
+	version uint64
+}
+
+func (t *simTable) Get(_ context.Context, key string) (platform.Row, error) {
+	if row, ok := t.rows[key]; ok {
+		return row, nil
+	}
+	return platform.Row{}, &platform.NotFoundError{Name: key}
+}
+
+func (t *simTable) Scan(context.Context, string) ([]platform.Row, error) { return nil, errSim }
+
+func (t *simTable) Commit(_ context.Context, writes []platform.Write) ([]uint64, error) {
+	versions := make([]uint64, len(writes))
+	for _, w := range writes {
+		if t.rows[w.Key].Version != w.IfVersion {
+			return nil, &platform.ConflictError{Stored: []platform.Row{t.rows[w.Key]}}
+		}
+	}
+	for i, w := range writes {
+		t.version++
+		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.version, Value: w.Value}
+		versions[i] = t.version
+	}
+	return versions, nil
+}
--- /dev/null
+++ b/internal/keys/simcall_test.go
@@ -0,0 +1,237 @@
+package keys
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/rpc"
+)
+
+// simCall is one caller's request with a key, as an entry node carries it out.
+type simCall struct {
+	sim      *sim
+	entry    *place
+	key      string
+	attempt  []byte
+	replaces []byte
+	started  time.Duration
+	rounds   int
+	finished func(outcome string)
+}
+
+// load makes callers repeat a few keys over time at one entry node.
+func (s *sim) load(entry int) {
+	s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() {
+		epoch := int(s.now / (40 * time.Second))
+		if s.chance(0.3) {
+			epoch -= s.rng.IntN(5)
+		}
+		s.request(s.entries[entry], fmt.Sprintf("k%d-%d", epoch, s.rng.IntN(3)), func(string) {})
+		s.load(entry)
+	})
+}
+
+func (s *sim) request(entry *place, key string, finished func(outcome string)) {
+	c := &simCall{sim: s, entry: entry, key: key, finished: finished}
+	c.next()
+}
+
+func (c *simCall) end(outcome string) {
+	c.sim.outcomes[outcome]++
+	c.finished(outcome)
+}
+
+// next claims the key for a new attempt.
+func (c *simCall) next() {
+	if c.rounds++; c.rounds > 6 {
+		c.end("rounds")
+		return
+	}
+	c.sim.attempts++
+	c.attempt = binary.BigEndian.AppendUint64(make([]byte, 8), c.sim.attempts)
+	c.claim(2)
+}
+
+// claim sends the claim to the owner at the roster of a random node; a claim without an answer is repeated.
+func (c *simCall) claim(tries int) {
+	s := c.sim
+	roster := s.anyRoster(c.entry)
+	if roster == nil || roster.Owner(c.key) == nil {
+		c.refused("no-roster", string(failure.NotRun))
+		return
+	}
+	owner, runners := roster.Owner(c.key), roster.Runners(c.key)
+	runner := runners[s.rng.IntN(len(runners))]
+	request := &rpc.ClaimRequest{Service: "orders", Key: c.key, Fingerprint: []byte("f"), Attempt: c.attempt, Runner: runner.ID,
+		RosterVersion: roster.Version, Replaces: c.replaces}
+	var response *rpc.ClaimResponse
+	c.started = s.now
+	c.send(owner, func(p *proc) { response, _ = p.Claim(context.Background(), request) }, func(ok bool) {
+		switch {
+		case !ok && tries > 1:
+			c.claim(tries - 1)
+		case !ok:
+			c.refused("claim-lost", string(failure.NotRun))
+		case response.Reason != "":
+			c.refused(response.Reason, response.Outcome)
+		case response.Granted:
+			s.at(c.entry, s.think(), func() { c.run(*owner, runner, response.RosterVersion) })
+		default:
+			c.taken(roster, response)
+		}
+	})
+}
+
+// anyRoster is what a random node in reach has installed, else the newest one in reach, or nil.
+func (s *sim) anyRoster(entry *place) *Roster {
+	var found []*Roster
+	for _, n := range s.nodes {
+		if p := n.proc; p != nil && p.machine.installed != nil && !s.cut[[2]int{entry.index, n.index}] {
+			found = append(found, p.machine.installed)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	if s.chance(0.3) {
+		return found[s.rng.IntN(len(found))]
+	}
+	return slices.MaxFunc(found, func(a, b *Roster) int { return cmp.Compare(a.Commit, b.Commit) })
+}
+
+// think is the pause of an entry node before it sends a granted attempt.
+func (s *sim) think() time.Duration {
+	if s.chance(0.1) {
+		return s.between(0, simLate)
+	}
+	return s.between(0, 50*time.Millisecond)
+}
+
+// send calls a member's present incarnation.
+func (c *simCall) send(m *Member, exec func(p *proc), done func(ok bool)) {
+	node := c.sim.byName(m.PeerAddr)
+	c.sim.call(c.entry, &node.place, func() bool {
+		if node.proc == nil || node.proc.id != m.ID {
+			return false
+		}
+		exec(node.proc)
+		return true
+	}, done)
+}
+
+func (c *simCall) refused(reason, outcome string) {
+	if outcome == string(failure.NotRun) {
+		c.sim.tellNotRun(c.attempt)
+	}
+	c.end(reason)
+}
+
+func (s *sim) tellNotRun(attempt []byte) {
+	s.notRun[string(attempt)] = true
+	if s.ran[string(attempt)] {
+		s.violation = fmt.Sprintf("not-run was told of attempt %x, which ran", attempt)
+	}
+}
+
+// run sends the granted attempt; without an answer it is fenced.
+func (c *simCall) run(owner, runner Member, version uint64) {
+	if c.sim.now-c.started > simGrantLife/2 {
+		c.refused("too-late", string(failure.NotRun))
+		return
+	}
+	attempt := c.attempt
+	c.send(&runner, func(p *proc) { p.receive(c.key, attempt, owner.ID, version) }, func(bool) {
+		c.sim.at(c.entry, time.Second, func() { c.fence(&runner, attempt) })
+	})
+}
+
+// fence asks the runner what became of an attempt and makes sure that an unseen one never runs.
+func (c *simCall) fence(runner *Member, attempt []byte) {
+	var state rpc.AttemptState
+	c.send(runner, func(p *proc) { state = p.fence(attempt) }, func(ok bool) {
+		switch {
+		case !ok || state == rpc.AttemptState_ATTEMPT_RUNNING:
+			c.end("unknown")
+		case state == rpc.AttemptState_ATTEMPT_NOT_RUN:
+			c.sim.tellNotRun(attempt)
+			c.replaces = attempt
+			c.next()
+		default:
+			c.end("done")
+		}
+	})
+}
+
+func (c *simCall) taken(roster *Roster, response *rpc.ClaimResponse) {
+	runner := roster.member(response.TakenRunner)
+	if runner == nil {
+		if response.Answer != nil && string(response.Answer.Body) != c.key+string(response.TakenAttempt) {
+			c.sim.violation = fmt.Sprintf("key %s was answered %x", c.key, response.Answer.Body)
+		}
+		c.end("runner-left:" + response.TakenState.String())
+		return
+	}
+	c.fence(runner, response.TakenAttempt)
+}
+
+// receive is the runner's side of an attempt: record, wait for a slot, check, and hand it to a target that honours
+// Not-After.
+func (p *proc) receive(key string, attempt []byte, owner string, version uint64) {
+	id, s := string(attempt), p.node.sim
+	if p.ledger[id] != nil {
+		return
+	}
+	entry := &KeyedAttempt{Key: key, Fingerprint: []byte("f"), Attempt: attempt, Owner: owner, Version: version, State: rpc.AttemptState_ATTEMPT_RUNNING}
+	p.ledger[id] = entry
+	p.began[id] = s.now
+	s.at(&p.node.place, s.between(0, 300*time.Millisecond), func() {
+		if p.node.proc != p {
+			return
+		}
+		p.began[id] = s.now
+		notAfter, err := p.Check("orders", key, owner, version)
+		if err != nil {
+			entry.State = rpc.AttemptState_ATTEMPT_NOT_RUN
+			return
+		}
+		s.at(&p.node.place, s.between(0, 20*time.Millisecond), func() { p.dispatch(entry, notAfter) })
+	})
+}
+
+func (p *proc) dispatch(entry *KeyedAttempt, notAfter time.Time) {
+	if p.node.proc != p {
+		return
+	}
+	if !p.node.Now().Before(notAfter) {
+		entry.State = rpc.AttemptState_ATTEMPT_NOT_RUN
+		return
+	}
+	s, id := p.node.sim, string(entry.Attempt)
+	p.began[id] = s.now
+	entry.State = rpc.AttemptState_ATTEMPT_DONE
+	entry.Answer = &rpc.Answer{Status: 200, Body: []byte(entry.Key + id)}
+	s.ran[id] = true
+	for _, earlier := range s.runs[entry.Key] {
+		if s.now-earlier.at < simWindow {
+			s.violation = fmt.Sprintf("key %s ran twice: attempt %x at %v, attempt %x at %v", entry.Key, earlier.attempt, earlier.at, id, s.now)
+		}
+	}
+	if s.notRun[id] {
+		s.violation = fmt.Sprintf("attempt %x ran after not-run was told", id)
+	}
+	s.runs[entry.Key] = append(s.runs[entry.Key], run{id, s.now})
+}
+
+func (p *proc) fence(attempt []byte) rpc.AttemptState {
+	entry := p.ledger[string(attempt)]
+	if entry == nil {
+		entry = &KeyedAttempt{Attempt: attempt, State: rpc.AttemptState_ATTEMPT_NOT_RUN}
+		p.ledger[string(attempt)] = entry
+	}
+	return entry.State
+}
