Don't charge the retry budget for sends that reached no target

Cause: after a stall of all pooled connections, 3 of 6 idempotent calls failed with connection-silent (seen in TestSilentConnectionsCostOneDetectionPerNode): the budget of a service with few calls holds one token. Such a send put no load on a target, so its repetition is no extra load.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,8 +9,9 @@
 
 // status is the answer of /status.
 type status struct {
-	Control  control.Status
-	Draining bool
+	Control    control.Status
+	OwnMembers int // known members of the node's own service, itself included
+	Draining   bool
 }
 
 // adminHandler serves /metrics, /healthz, /readyz and /status.
@@ -24,8 +25,13 @@
 		}
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		now := status{
+			Control:    d.control.Status(),
+			OwnMembers: len(d.view.Load().Members[d.self.Service]),
+			Draining:   opened.draining.Load(),
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(status{d.control.Status(), opened.draining.Load()}) // the client may have gone away
+		_ = json.NewEncoder(w).Encode(now) // the client may have gone away
 	})
 	return mux
 }
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,286 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/inbound"
+	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// silentNet makes the connections that are open when silence is called swallow every byte from then on.
+type silentNet struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+type silentConn struct {
+	net.Conn
+	silent chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *silentNet) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	wrapped := &silentConn{Conn: conn, silent: make(chan struct{}), closed: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, wrapped)
+	return wrapped, nil
+}
+
+// silence returns the number of connections that went silent.
+func (s *silentNet) silence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		close(conn.silent)
+	}
+	count := len(s.conns)
+	s.conns = nil
+	return count
+}
+
+func (c *silentConn) Write(data []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(data), nil
+	default:
+		return c.Conn.Write(data)
+	}
+}
+
+func (c *silentConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	select {
+	case <-c.silent:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// fixture is an entry node in front of nodes with a target each, all in this process.
+type fixture struct {
+	handler *Handler
+	network *silentNet
+	metrics *telemetry.Registry
+	entry   *httptest.Server
+	runs    sync.Map // order → *atomic.Int64
+	delay   atomic.Int64
+}
+
+func newFixture(t *testing.T, nodes int, target http.HandlerFunc) *fixture {
+	t.Helper()
+	f := &fixture{network: &silentNet{}, metrics: telemetry.New()}
+	service := &servicelist.Service{
+		Name: "orders", Timeout: 5 * time.Second, Limits: servicelist.Limits{Slots: 9, Connections: 260, Queue: 9},
+		Retry: servicelist.Retry{BudgetPercent: 10, HedgePercent: 5},
+	}
+	snapshot := &cluster.Snapshot{
+		Self:    cluster.Member{ID: "entry@1", Service: "entry", Zone: "a", Region: "r"},
+		List:    &servicelist.List{Version: 1, Services: map[string]*servicelist.Service{"orders": service}, Measuring: servicelist.Measuring{RegionBytesPerSecond: 14000, LinkBytesPerSecond: 1000}},
+		Members: map[string][]cluster.Member{},
+	}
+	for i := range nodes {
+		snapshot.Members["orders"] = append(snapshot.Members["orders"], f.startNode(t, fmt.Sprintf("n%d@1", i), snapshot, target))
+	}
+	transport := forward.New(forward.Config{Dial: f.network.dial, Metrics: f.metrics})
+	policies := NewPolicies(PoliciesConfig{Self: snapshot.Self, Bytes: budget.NewBytes(budget.Limits{}, nil), Transport: transport, Metrics: f.metrics})
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	f.handler = New(Config{
+		View:      cluster.NewView(snapshot),
+		Transport: transport,
+		Policies:  policies,
+		Attempts:  func(addr string) rpc.Attempts { return rpc.NewAttemptsProtobufClient("http://"+addr, fresh) },
+		Metrics:   f.metrics,
+	})
+	f.entry = httptest.NewServer(f.handler)
+	t.Cleanup(func() {
+		f.entry.Close()
+		policies.Close()
+		transport.Close()
+	})
+	return f
+}
+
+func (f *fixture) startNode(t *testing.T, id string, snapshot *cluster.Snapshot, target http.HandlerFunc) cluster.Member {
+	t.Helper()
+	backend := httptest.NewServer(f.counted(target))
+	own := *snapshot
+	own.Self = cluster.Member{ID: id, Service: "orders", Zone: "a", Region: "r"}
+	node := inbound.New(inbound.Config{Self: own.Self, View: cluster.NewView(&own), TargetAddr: backend.Listener.Addr().String(), Metrics: f.metrics})
+	twirp := rpc.NewAttemptsServer(node)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, wire.ForwardPath) {
+			node.ServeHTTP(w, r)
+			return
+		}
+		twirp.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections() // silent connections never end by themselves
+		server.Close()
+		node.Close()
+		backend.Close()
+	})
+	member := own.Self
+	member.PeerAddr = server.Listener.Addr().String()
+	return member
+}
+
+// counted counts the runs of each order.
+func (f *fixture) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if order := r.Header.Get("X-Order"); order != "" {
+			count, _ := f.runs.LoadOrStore(order, &atomic.Int64{})
+			count.(*atomic.Int64).Add(1)
+		}
+		next(w, r)
+	}
+}
+
+func (f *fixture) ran(order string) int64 {
+	count, ok := f.runs.Load(order)
+	if !ok {
+		return 0
+	}
+	return count.(*atomic.Int64).Load()
+}
+
+func (f *fixture) call(method, path, order string, body io.Reader) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, f.entry.URL+path, body)
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = "orders"
+	request.Header.Set("X-Order", order)
+	response, err := f.entry.Client().Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func answerOrder(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(5 * time.Millisecond)
+	fmt.Fprint(w, "order="+r.Header.Get("X-Order"))
+}
+
+// Guards against a timeout for each silent connection, an order that runs twice and an answer for another caller, when
+// all pooled connections to the nodes go silent at once.
+func TestSilentConnectionsCostOneDetectionPerNode(t *testing.T) {
+	const nodes, calls = 2, 12
+	f := newFixture(t, nodes, answerOrder)
+	f.calls(t, "warm", calls)
+	silent := f.network.silence()
+	assert.Assert(t, silent >= 4, "only %d pooled connections", silent)
+	f.calls(t, "after", calls)
+	retired := f.metrics.Counter("forward.generation-retired").Count()
+	assert.Assert(t, retired >= 1 && retired <= nodes, "%d generations were retired", retired)
+}
+
+// calls sends orders at once, half of them idempotent, and checks each answer and run.
+func (f *fixture) calls(t *testing.T, prefix string, count int) {
+	t.Helper()
+	var wait sync.WaitGroup
+	for i := range count {
+		wait.Go(func() {
+			method := []string{http.MethodGet, http.MethodPost}[i%2]
+			order := fmt.Sprintf("%s-%d", prefix, i)
+			response, body, err := f.call(method, "/", order, strings.NewReader("x"))
+			if err != nil {
+				t.Errorf("order %s: %v", order, err)
+				return
+			}
+			refusedSafely := method == http.MethodPost && response.Header.Get(wire.Outcome) == "not-run" && f.ran(order) == 0
+			if body != "order="+order && !refusedSafely {
+				t.Errorf("order %s: %d %s", order, response.StatusCode, body)
+			}
+			if method == http.MethodPost && f.ran(order) > 1 {
+				t.Errorf("order %s ran %d times", order, f.ran(order))
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against a cut answer that looks whole to the caller.
+func TestAnswerThatBreaksOffBreaksTheCallersConnection(t *testing.T) {
+	f := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/sized" {
+			w.Header().Set("Content-Length", "1000")
+		}
+		fmt.Fprint(w, "first part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	for _, path := range []string{"/sized", "/chunked"} {
+		response, body, err := f.call(http.MethodGet, path, "", nil)
+		if err == nil {
+			assert.Assert(t, response.StatusCode != http.StatusOK, "%s: a cut answer looked whole: %q", path, body)
+		}
+	}
+}
+
+// Guards against a request body that is replayed in part: a large streamed body refused by a full node must reach
+// another node whole, or be refused.
+func TestStreamedBodyIsSentWholeOrRefused(t *testing.T) {
+	f := newFixture(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprint(w, n)
+	})
+	const size = 300 << 10
+	var wait sync.WaitGroup
+	for i := range 80 {
+		wait.Go(func() {
+			order := fmt.Sprint("large-", i)
+			response, body, err := f.call(http.MethodPost, "/", order, io.MultiReader(strings.NewReader(strings.Repeat("x", size))))
+			if err != nil {
+				t.Errorf("%s: %v", order, err)
+				return
+			}
+			if response.StatusCode == http.StatusOK && body != fmt.Sprint(size) {
+				t.Errorf("%s: the target got %s of %d bytes", order, body, size)
+			}
+			if response.Header.Get(wire.Outcome) == "not-run" && f.ran(order) != 0 || f.ran(order) > 1 {
+				t.Errorf("%s: told %s, ran %d times", order, response.Header.Get(wire.Outcome), f.ran(order))
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -114,7 +114,7 @@
 		h.config.Metrics.Counter("retry.denied.body-not-replayable").Inc(1)
 		return false
 	}
-	if !policy.retry.Spend() {
+	if !reachedNoTarget(failed) && !policy.retry.Spend() {
 		h.config.Metrics.Counter("retry.denied.budget").Inc(1)
 		return false
 	}
@@ -122,6 +122,20 @@
 	return true
 }
 
+// reachedNoTarget reports a failure that put no load on any target, so that the next send is no extra load. Such sends
+// don't draw on the retry budget: a stall of all connections or a restart would else exhaust it at once. maxSends
+// bounds them.
+func reachedNoTarget(failed *failure.Error) bool {
+	switch failed.Reason {
+	case failure.ConnectFailed, failure.ConnectionSilent:
+		return true
+	case failure.Draining, failure.WrongIncarnation, failure.TargetUnreachable:
+		return failed.Outcome == failure.NotRun
+	default:
+		return false
+	}
+}
+
 // repeatable reports whether another send is safe and may help. Of nested calls only refusals are repeated, so that
 // one layer alone retries unclear failures.
 func repeatable(c *call, failed *failure.Error) bool {
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -204,11 +205,11 @@
 	return string(out), command.ProcessState.ExitCode()
 }
 
-// WaitReady waits until every running node is ready.
+// WaitReady waits until every running node is ready and knows all members of its service.
 func (c *Cluster) WaitReady(limit time.Duration) error {
 	return WaitFor(limit, "all nodes to be ready", func() bool {
 		for _, n := range c.Nodes {
-			if !n.Daemon.Ended() && !n.Ready() {
+			if !n.Daemon.Ended() && (!n.Ready() || n.Status().OwnMembers < c.running(n.Service)) {
 				return false
 			}
 		}
@@ -216,6 +217,36 @@
 	})
 }
 
+// running counts the nodes of a service that run.
+func (c *Cluster) running(service string) int {
+	count := 0
+	for _, n := range c.Nodes {
+		if n.Service == service && !n.Daemon.Ended() {
+			count++
+		}
+	}
+	return count
+}
+
+// Status is the part of a node's /status that tests use.
+type Status struct {
+	Control    struct{ ListVersion uint64 }
+	OwnMembers int // known members of the node's own service
+}
+
+// Status asks the node's admin address; a node that doesn't answer gives the zero status.
+func (n *Node) Status() Status {
+	var status Status
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + n.AdminAddr + "/status")
+	if err != nil {
+		return status
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&status) // the zero status tells it
+	return status
+}
+
 // Ready asks the node's admin address.
 func (n *Node) Ready() bool {
 	client := &http.Client{Timeout: time.Second}
