--- /dev/null
+++ b/internal/platformtest/store_test.go
@@ -0,0 +1,122 @@
+package platformtest
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/platform"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed chooses another.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // the flag exists because rapid is imported
+	os.Exit(m.Run())
+}
+
+// Guards against commits that apply in part, versions that repeat after a delete, and a write id decided twice.
+func TestStoreFollowsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		store := newStore()
+		store.now = func() time.Time { return now }
+		model := map[string]platform.Row{}
+		highest := map[string]uint64{}
+		decided := map[string]decision{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			writes := drawWrites(t, model)
+			id := fmt.Sprint("id", rapid.IntRange(0, step).Draw(t, "write id"))
+			got, repeated := store.commit(id, writes)
+			before, known := decided[id]
+			assert.Equal(t, repeated, known)
+			if known {
+				assert.DeepEqual(t, got.versions, before.versions)
+				assert.DeepEqual(t, got.conflict, before.conflict)
+				continue
+			}
+			decided[id] = got
+			holds := true
+			for _, write := range writes {
+				holds = holds && model[write.Key].Version == write.IfVersion
+			}
+			assert.Equal(t, len(got.conflict) == 0, holds)
+			if holds {
+				applyToModel(t, model, highest, writes, got.versions)
+			}
+			rows := store.scan("")
+			assert.Equal(t, len(rows), len(model))
+			for _, row := range rows {
+				assert.DeepEqual(t, row, model[row.Key])
+			}
+		}
+		now = now.Add(platform.WriteIDRetention + time.Second)
+		store.commit("later", []platform.Write{{Key: "z"}})
+		assert.Equal(t, len(store.decided), 1)
+	})
+}
+
+func drawWrites(t *rapid.T, model map[string]platform.Row) []platform.Write {
+	keys := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3, rapid.ID).Draw(t, "keys")
+	writes := make([]platform.Write, len(keys))
+	for i, key := range keys {
+		version := model[key].Version
+		if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+			version += uint64(rapid.IntRange(1, 2).Draw(t, "too high"))
+		}
+		writes[i] = platform.Write{Key: key, IfVersion: version, Delete: rapid.Bool().Draw(t, "delete")}
+		if !writes[i].Delete {
+			writes[i].Value = []byte(rapid.StringN(0, 3, 8).Draw(t, "value"))
+		}
+	}
+	return writes
+}
+
+func applyToModel(t *rapid.T, model map[string]platform.Row, highest map[string]uint64, writes []platform.Write, versions []uint64) {
+	for i, write := range writes {
+		if write.Delete {
+			assert.Equal(t, versions[i], uint64(0))
+			delete(model, write.Key)
+			continue
+		}
+		assert.Assert(t, versions[i] > highest[write.Key], "version repeats")
+		highest[write.Key] = versions[i]
+		model[write.Key] = platform.Row{Key: write.Key, Version: versions[i], Value: write.Value}
+	}
+}
+
+// Guards against faults that can't be switched from another process, or that a misspelt name leaves off.
+func TestFaultsOverAdminPath(t *testing.T) {
+	server := New()
+	addr, err := server.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	put := func(body string) int {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+addr+"/admin/faults", bytes.NewBufferString(body))
+		assert.NilError(t, err)
+		response, err := client.Do(request)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	want := Faults{Down: true, DelayMS: 5, LoseAnswers: 2}
+	body, err := json.Marshal(want)
+	assert.NilError(t, err)
+	assert.Equal(t, put(string(body)), http.StatusOK)
+	assert.Equal(t, server.Faults(), want)
+	assert.Equal(t, put(`{"downn": true}`), http.StatusBadRequest)
+	assert.Equal(t, put(`{}`), http.StatusOK)
+	assert.Equal(t, server.Faults(), Faults{})
+	response, err := client.Post("http://"+addr+"/admin/silence", "", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, server.faults.silentBelow.Load() > 1)
+}
