Count the platform's bytes and test for leaks

The budget for control traffic needs the size of what crosses the link to the store. Tests fail when a connection or goroutine outlives the client.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,8 +58,9 @@
 	MaxResponseBytes int64
 	// Connections is the greatest number of connections to the platform; default 8.
 	Connections int
-	// Metrics receives the counters "platform.try.<operation>", "platform.retry.<reason>" and
-	// "platform.unavailable.<operation>"; default a registry of its own.
+	// Metrics receives the counters "platform.try.<operation>", "platform.retry.<reason>",
+	// "platform.unavailable.<operation>", "platform.bytes.sent" and "platform.bytes.received" (bodies of all tries);
+	// default a registry of its own.
 	Metrics *telemetry.Registry
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/acacialock/acacialock/internal/platform"
@@ -16,6 +17,9 @@
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
+// TestMain guards against connections and goroutines that outlive the client, also those replaced as silent.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // start returns a stand-in and a client with short tries.
 func start(t *testing.T, config platform.Config) (*platformtest.Server, *platform.Client, *telemetry.Registry) {
 	t.Helper()
--- a/internal/platform/try.go
+++ b/internal/platform/try.go
@@ -87,12 +87,14 @@
 		return 0, nil, nil, &RejectedError{Operation: op.operation, Message: err.Error()}
 	}
 	request.Header.Set("Content-Type", "application/json")
+	c.config.Metrics.Counter("platform.bytes.sent").Inc(int64(len(body)))
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0, nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }() // the body was read, or its error is returned
 	text, err := io.ReadAll(io.LimitReader(response.Body, c.config.MaxResponseBytes+1))
+	c.config.Metrics.Counter("platform.bytes.received").Inc(int64(len(text)))
 	if err == nil && int64(len(text)) > c.config.MaxResponseBytes {
 		err = &BadAnswerError{Detail: fmt.Sprintf("longer than %d bytes", c.config.MaxResponseBytes)}
 	}
