--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -117,6 +117,9 @@
 	if _, err := netip.ParseAddrPort(args.Platform); err != nil {
 		return &UsageError{Detail: fmt.Sprintf("platform %q is not an address: give IP:port with --platform or ACACIALOCK_PLATFORM", args.Platform)}
 	}
+	if err := args.checkNumbers(); err != nil {
+		return err
+	}
 	client := platform.NewClient(platform.Config{Addr: args.Platform, OperationTimeout: args.Timeout})
 	defer client.Close()
 	operator := &Operator{Table: client, Objects: client.Objects(), Name: args.Operator, Progress: out.progress}
@@ -133,6 +136,18 @@
 	return status(ctx, operator, args.Status.Observe, out)
 }
 
+// checkNumbers requires that no option is negative.
+func (a *arguments) checkNumbers() error {
+	negative := a.Timeout < 0 ||
+		a.Apply != nil && a.Apply.Wait < 0 ||
+		a.History != nil && a.History.Limit < 0 ||
+		a.Status != nil && a.Status.Observe < 0
+	if negative {
+		return &UsageError{Detail: "--timeout, --wait, --limit and --observe must not be negative"}
+	}
+	return nil
+}
+
 // readList returns the text of a valid service list.
 func readList(file string) (*servicelist.List, error) {
 	text, err := os.ReadFile(file)
--- a/internal/operator/zones_test.go
+++ b/internal/operator/zones_test.go
@@ -108,6 +108,7 @@
 		{"", ExitBadInput, ""},
 		{"replace " + good, ExitBadInput, ""},
 		{"--platform nowhere get", ExitBadInput, ""},
+		{"apply " + good + " --wait -1s", ExitBadInput, ""},
 		{"check " + bad + " --output json", ExitBadInput, `"kind": "unknown-key"`},
 		{"check " + bad + "x", ExitBadInput, ""},
 		{"apply " + bad, ExitBadInput, ""},
