--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -122,3 +122,14 @@
 	assert.Assert(t, errors.As(err, &unreadable))
 	assert.Equal(t, len(unreadable.Problems), 8, "one for each required key: %v", err)
 }
+
+// Guards against an example that the daemon would refuse.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/acacialockd.toml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 2)
+	for _, file := range files {
+		_, err := Load(file)
+		assert.NilError(t, err)
+	}
+}
