--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -172,7 +172,9 @@
 	}
 }
 
-func (s *state) heartbeatAnswered(addr string, sent time.Time, request *rpc.HeartbeatRequest, answer *rpc.HeartbeatResponse) {
+func (s *state) heartbeatAnswered(
+	addr string, sent time.Time, request *rpc.HeartbeatRequest, answer *rpc.HeartbeatResponse,
+) {
 	switch {
 	case answer.GetLeader() && answer.GetEpoch() >= s.leader.epoch:
 		s.followLeader(addr, answer)
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -81,6 +81,7 @@
 	f := fetch{
 		want:    want,
 		newer:   s.list.version(),
+		row:     s.table.current,
 		peers:   s.listSources(),
 		parse:   s.cfg.ParseList,
 		table:   s.cfg.Table,
@@ -90,7 +91,7 @@
 	if s.lease == nil {
 		f.delay = s.upTo(s.cfg.StartSpread)
 	}
-	limit := s.cfg.StartSpread + s.cfg.StoreTimeout + time.Duration(len(f.peers))*s.cfg.CallTimeout
+	limit := s.cfg.StartSpread + s.cfg.StoreTimeout + time.Duration(2*len(f.peers))*s.cfg.CallTimeout
 	background(s, limit, f.run, func(c *candidate, err error) {
 		s.finish("fetch")
 		if err != nil {
@@ -118,6 +119,9 @@
 	for range min(fetchPeers, len(peers)) {
 		sources = append(sources, s.client(peers[s.rand.IntN(len(peers))].PeerAddr))
 	}
+	if s.list.starting && len(s.cfg.Seeds) > 0 {
+		sources = append(sources, s.client(s.cfg.Seeds[s.rand.IntN(len(s.cfg.Seeds))]))
+	}
 	return sources
 }
 
@@ -163,7 +167,8 @@
 // fetch is one attempt to get a list's text; it runs in a helper goroutine.
 type fetch struct {
 	want    wantedList
-	newer   uint64 // version in force
+	newer   uint64           // version in force
+	row     *cluster.ListRow // as last read from the table; may be nil
 	peers   []rpc.Control
 	parse   func([]byte) (*servicelist.List, error)
 	table   platform.Table
@@ -173,17 +178,28 @@
 }
 
 func (f *fetch) run(ctx context.Context) (*candidate, error) {
-	for _, peer := range f.peers {
-		if c, err := f.fromPeer(ctx, peer); err == nil {
-			return c, nil
-		}
+	if c := f.fromPeers(ctx); c != nil {
+		return c, nil
 	}
 	if err := sleep(ctx, f.delay); err != nil {
 		return nil, err
 	}
+	if c := f.fromPeers(ctx); c != nil {
+		return c, nil
+	}
 	return f.fromObjects(ctx)
 }
 
+// fromPeers returns the first usable answer, or nil.
+func (f *fetch) fromPeers(ctx context.Context) *candidate {
+	for _, peer := range f.peers {
+		if c, err := f.fromPeer(ctx, peer); err == nil {
+			return c
+		}
+	}
+	return nil
+}
+
 func (f *fetch) fromPeer(ctx context.Context, peer rpc.Control) (*candidate, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
@@ -201,22 +217,31 @@
 }
 
 func (f *fetch) fromObjects(ctx context.Context) (*candidate, error) {
-	row, err := getRow(ctx, f.table, cluster.CurrentListKey)
+	current, err := f.currentRow(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if row.Version == 0 {
-		return nil, &ListError{Version: f.want.version, Problem: "the table holds no service list"}
-	}
-	var current cluster.ListRow
-	if err := decode(row, &current); err != nil {
-		return nil, err
-	}
 	text, err := f.objects.Get(ctx, current.Object)
 	if err != nil {
 		return nil, &ListError{Version: current.Version, Problem: "the object store does not give the text", Cause: err}
 	}
-	return check(f.parse, current.Version, text, wantedFrom(&current).sha)
+	return check(f.parse, current.Version, text, wantedFrom(current).sha)
+}
+
+// currentRow returns the table's row, which a node that starts and a leader have read before.
+func (f *fetch) currentRow(ctx context.Context) (*cluster.ListRow, error) {
+	if f.row != nil && f.row.Version == f.want.version {
+		return f.row, nil
+	}
+	row, err := getRow(ctx, f.table, cluster.CurrentListKey)
+	if err != nil {
+		return nil, err
+	}
+	if row.Version == 0 {
+		return nil, &ListError{Version: f.want.version, Problem: "the table holds no service list"}
+	}
+	current := &cluster.ListRow{}
+	return current, decode(row, current)
 }
 
 // check verifies the digest and parses the text.
