--- a/internal/keys/edit.go
+++ b/internal/keys/edit.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		next.Members = append(next.Members, Member{ID: node.ID, Zone: node.Zone, Region: node.Region,
-			PeerAddr: node.PeerAddr, State: StateActive, Joined: next.Version})
+			PeerAddr: node.PeerAddr, State: StateActive, Joined: next.Version, Since: next.Version})
 		slices.SortFunc(next.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	}
 	return next.reshaped()
@@ -48,6 +48,15 @@
 	return next.reshaped()
 }
 
+// withReturned makes a leaving member active again.
+func (r *Roster) withReturned(id string) *Roster {
+	next := r.edited()
+	next.Version++
+	next.member(id).State = StateActive
+	next.member(id).Since = next.Version
+	return next.reshaped()
+}
+
 func (r *Roster) without(ids []string) *Roster {
 	next := r.edited()
 	next.Version++
@@ -114,8 +123,7 @@
 	return true
 }
 
-// historyLost reports whether all records of the key may have been lost with members. ranking members are those that
-// were active throughout the lost member's time and would have owned the key instead.
+// historyLost reports whether all records of the key may have been lost with members.
 func (r *Roster) historyLost(key string) bool {
 	for i, lost := range r.Lost {
 		if lost.Alone {
@@ -138,9 +146,10 @@
 	return false
 }
 
+// mayHaveOwned is false when a member that was active throughout the lost member's time outranks it for the key.
 func (r *Roster) mayHaveOwned(lost LostMember, key string) bool {
 	for _, m := range r.Members {
-		if m.State == StateActive && m.Joined <= lost.Joined && outranks(m.ID, lost.ID, key) {
+		if m.State == StateActive && m.Since <= lost.Joined && outranks(m.ID, lost.ID, key) {
 			return false
 		}
 	}
--- a/internal/keys/planedit.go
+++ b/internal/keys/planedit.go
@@ -70,6 +70,7 @@
 		{"lost", behind, m.buildLost},
 		{"suspect", behind, m.buildSuspect},
 		{"left", 0, m.buildLeft},
+		{"return", 0, m.buildReturn},
 		{"leave", 0, m.buildLeave},
 		{"join", joinBatch + behind, m.buildJoins},
 		{"activated", behind, m.buildActivated},
@@ -175,6 +176,9 @@
 		return nil
 	}
 	if m.known.activeCount() == 0 {
+		if !m.wantLeave {
+			return nil
+		}
 		return m.leftAlone()
 	}
 	if !m.allActivated() {
@@ -183,6 +187,16 @@
 	return m.known.withLeft(m.cfg.Self.ID)
 }
 
+// buildReturn makes this member active again when the members that it left the keys to are gone. It keeps the records
+// in the roster when the home region moved and its nodes were lost during the handover.
+func (m *machine) buildReturn(time.Time) *Roster {
+	self := m.known.member(m.cfg.Self.ID)
+	if self.State != StateLeaving || m.wantLeave || m.known.activeCount() != 0 {
+		return nil
+	}
+	return m.known.withReturned(self.ID)
+}
+
 // leftAlone removes the last member; without records nothing is lost.
 func (m *machine) leftAlone() *Roster {
 	for _, node := range m.viewMembers() {
--- a/internal/keys/protocol_test.go
+++ b/internal/keys/protocol_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,12 +14,17 @@
 	"github.com/acacialock/acacialock/internal/failure"
 )
 
-// fixRapid makes rapid draw the same cases in each run; flags given on the command line win.
-func fixRapid(t *testing.T, seed, checks, steps string) {
+// flagsGiven names the flags of the command line.
+var flagsGiven = sync.OnceValue(func() map[string]bool {
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	return given
+})
+
+// fixRapid makes rapid draw the same cases in each run; flags given on the command line win.
+func fixRapid(t *testing.T, seed, checks, steps string) {
 	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.steps": steps, "rapid.nofailfile": "true"} {
-		if !given[name] {
+		if !flagsGiven()[name] {
 			assert.NilError(t, flag.Set(name, value))
 		}
 	}
@@ -73,7 +79,7 @@
 // partition puts each place on one of two sides.
 func (s *sim) partition(sides uint64) {
 	clear(s.cut)
-	places := len(s.nodes) + 1 + len(s.entries)
+	places := len(s.nodes) + 2 + len(s.entries)
 	for i := range places {
 		for j := range i {
 			if sides>>i&1 != sides>>j&1 {
@@ -83,6 +89,57 @@
 	}
 }
 
+// Sides of TestSplits.
+const (
+	withTable = 1
+	cutOff    = 2
+	onBoth    = withTable | cutOff
+)
+
+// TestSplits guards against two groups of members that both have authority: members lose the table one by one, while
+// some can still be reached by both groups.
+func TestSplits(t *testing.T) {
+	fixRapid(t, "20260202", "150", "25")
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "home"), 0, 4)
+		s.epoch = 4 * time.Second
+		s.advance(25 * time.Second)
+		sides := make([]int, len(s.nodes)+2+len(s.entries))
+		for i := range sides {
+			sides[i] = withTable
+		}
+		for i := range len(s.entries) / 2 {
+			sides[s.entries[i].index] = cutOff
+		}
+		move := func(side int) func(*rapid.T) {
+			return func(t *rapid.T) {
+				sides[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")] = side
+				s.split(sides)
+			}
+		}
+		actions := s.actions()
+		t.Repeat(map[string]func(*rapid.T){"": actions[""], "advance": actions["advance"], "advanceG": actions["advanceG"],
+			"advanceG2": actions["advanceG"], "advanceGmax": actions["advanceGmax"], "pause": actions["pause"],
+			"cut": move(cutOff), "cut2": move(cutOff), "both": move(onBoth), "join": move(withTable),
+			"leader": func(*rapid.T) { sides[s.leader.index] ^= cutOff; s.split(sides) }})
+		s.heal()
+		s.advance(rateMargin(simGmax+simG) + 2*time.Minute)
+		s.checkProgress(t)
+	})
+}
+
+// split lets two places reach each other when they are on a common side.
+func (s *sim) split(sides []int) {
+	clear(s.cut)
+	for i := range sides {
+		for j := range i {
+			if sides[i]&sides[j] == 0 {
+				s.cutBoth(i, j)
+			}
+		}
+	}
+}
+
 func (s *sim) cutBoth(i, j int) {
 	s.cut[[2]int{i, j}] = true
 	s.cut[[2]int{j, i}] = true
--- a/internal/keys/roster.go
+++ b/internal/keys/roster.go
@@ -38,6 +38,7 @@
 	PeerAddr string `json:"peer_addr"`
 	State    string `json:"state"`             // StateActive or StateLeaving
 	Joined   uint64 `json:"joined"`            // roster version at which it joined
+	Since    uint64 `json:"since"`             // roster version since which it has been active without a break
 	Suspect  uint64 `json:"suspect,omitempty"` // commit that marked it; 0: not suspect
 }
 
--- a/internal/keys/sim_test.go
+++ b/internal/keys/sim_test.go
@@ -65,6 +65,7 @@
 	queue     events
 	table     *simTable
 	tableAt   place
+	leader    place // the zone leader that reads the index row for all nodes
 	tableDown bool
 	nodes     []*simNode
 	entries   []*place
@@ -72,6 +73,8 @@
 	loss, dup float64
 	home      string
 	started   int
+	views     int
+	epoch     time.Duration // callers use new keys in each epoch
 	attempts  uint64
 	runs      map[string][]run
 	ran       map[string]bool // by attempt
@@ -103,6 +106,7 @@
 	ledger map[string]*KeyedAttempt
 	began  map[string]time.Duration
 	leave  bool
+	view   int
 }
 
 // Now implements Clock: it runs at the node's own rate from its own origin.
@@ -127,7 +131,7 @@
 
 func newSim(seed uint64, home, other, entries int) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), table: &simTable{rows: map[string]platform.Row{}}, cut: map[[2]int]bool{},
-		home: "r1", runs: map[string][]run{}, ran: map[string]bool{}, notRun: map[string]bool{}, outcomes: map[string]int{}}
+		home: "r1", epoch: 40 * time.Second, runs: map[string][]run{}, ran: map[string]bool{}, notRun: map[string]bool{}, outcomes: map[string]int{}}
 	for i := range home + other {
 		n := &simNode{sim: s, name: fmt.Sprintf("n%d", i), region: "r1", rate: 0.955 + 0.09*s.rng.Float64()}
 		n.index = i
@@ -137,8 +141,9 @@
 		s.nodes = append(s.nodes, n)
 	}
 	s.tableAt.index = len(s.nodes)
+	s.leader.index = len(s.nodes) + 1
 	for i := range entries {
-		s.entries = append(s.entries, &place{index: len(s.nodes) + 1 + i})
+		s.entries = append(s.entries, &place{index: len(s.nodes) + 2 + i})
 	}
 	for _, n := range s.nodes {
 		s.boot(n)
@@ -256,9 +261,16 @@
 // publishViews tells each node of the present members and home region, at different times.
 func (s *sim) publishViews() {
 	snapshot := s.snapshot()
+	s.views++
+	view := s.views
 	for _, n := range s.nodes {
 		if p := n.proc; p != nil && p.Service != nil {
-			s.at(&n.place, s.between(0, 7*time.Second), func() { p.cfg.View.Publish(snapshot) })
+			s.at(&n.place, s.between(0, 7*time.Second), func() {
+				if view > p.view {
+					p.view = view
+					p.cfg.View.Publish(snapshot)
+				}
+			})
 		}
 	}
 }
@@ -317,13 +329,14 @@
 	commit := uint64(0)
 	exec := func() bool {
 		index := cluster.RosterIndexRow{}
-		if row, ok := s.table.rows[cluster.RosterIndexKey]; ok && !s.tableDown {
+		row, ok := s.table.rows[cluster.RosterIndexKey]
+		if ok && !s.tableDown && !s.cut[[2]int{s.leader.index, s.tableAt.index}] {
 			_ = json.Unmarshal(row.Value, &index) // a wrong value confirms nothing
 		}
 		commit = index.Commits["orders"]
 		return commit != 0
 	}
-	s.call(&p.node.place, &s.tableAt, exec, func(ok bool) {
+	s.call(&p.node.place, &s.leader, exec, func(ok bool) {
 		if ok && p.node.proc == p {
 			p.machine.confirm(p.node.Now(), commit, asOf)
 		}
--- a/internal/keys/simcall_test.go
+++ b/internal/keys/simcall_test.go
@@ -26,8 +26,8 @@
 
 // load makes callers repeat a few keys over time at one entry node.
 func (s *sim) load(entry int) {
-	s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() {
-		epoch := int(s.now / (40 * time.Second))
+	s.after(s.between(100*time.Millisecond, 900*time.Millisecond), func() {
+		epoch := int(s.now / s.epoch)
 		if s.chance(0.3) {
 			epoch -= s.rng.IntN(5)
 		}
