Charge control traffic and load samples to the budget of measuring

Cause: only probes drew on the token buckets, so heartbeats, lists and samples on answers could exceed the budget. The daemon now charges each control message at its writer, by class and link; samples are left out of an answer when there is no room.

--- /dev/null
+++ b/bench/overhead/main.go
@@ -0,0 +1,159 @@
+// Command overhead measures the latency that acacialock adds: the same calls are sent through an entry node and straight
+// to a target, interleaved in one run, at a fixed arrival rate.
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/alexflint/go-arg"
+
+	"github.com/acacialock/acacialock/internal/testcluster"
+)
+
+type arguments struct {
+	Rate        int           `arg:"--rate" default:"400" help:"calls per second on each path"`
+	Duration    time.Duration `arg:"--duration" default:"10s" help:"of each round"`
+	Rounds      int           `arg:"--rounds" default:"3"`
+	Targets     int           `arg:"--targets" default:"5" help:"targets, each with a node"`
+	ServiceTime time.Duration `arg:"--service-time" default:"2ms"`
+	Seed        uint64        `arg:"--seed" default:"1"`
+}
+
+const (
+	maxLatencyUS = 10_000_000
+	serviceList  = "[services.storefront]\nhome_region = \"sanjose\"\n"
+)
+
+// path is one way to the targets.
+type path struct {
+	name string
+	addr func(*rand.Rand) string
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+	bad  int
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	dir, err := os.MkdirTemp("", "acacialock-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	cluster, err := startCluster(dir, args)
+	if cluster != nil {
+		defer cluster.Stop(false)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("seed %d, %d targets, %d calls/s on each path, service time %v, %d rounds of %v\n",
+		args.Seed, args.Targets, args.Rate, args.ServiceTime, args.Rounds, args.Duration)
+	fmt.Println("round  added p50     added p99     added p99.9   (direct p50/p99/p99.9)  failed direct/entry")
+	for round := range args.Rounds {
+		direct := &path{name: "direct", addr: pick(cluster, func(n *testcluster.Node) string { return n.TargetAddr })}
+		entry := &path{name: "entry", addr: pick(cluster, func(n *testcluster.Node) string { return n.EntryAddr })}
+		measure(args, uint64(round), direct, entry)
+		report(round, direct, entry)
+	}
+	return nil
+}
+
+func startCluster(dir string, args arguments) (*testcluster.Cluster, error) {
+	cluster, err := testcluster.Start(testcluster.Config{Dir: dir})
+	if err != nil {
+		return cluster, err
+	}
+	for i := range args.Targets {
+		zone := []string{"sj-a", "sj-b"}[i%2]
+		if _, err := cluster.Add(testcluster.Place{Service: "storefront", Region: "sanjose", Zone: zone, ServiceTime: args.ServiceTime}); err != nil {
+			return cluster, err
+		}
+	}
+	if out, code := cluster.Apply(serviceList); code != 0 {
+		return cluster, fmt.Errorf("apply ended with exit code %d: %s", code, out)
+	}
+	return cluster, cluster.WaitReady(time.Minute)
+}
+
+func pick(cluster *testcluster.Cluster, addr func(*testcluster.Node) string) func(*rand.Rand) string {
+	return func(random *rand.Rand) string { return addr(cluster.Nodes[random.IntN(len(cluster.Nodes))]) }
+}
+
+// measure sends calls at fixed times on both paths in turn; latency counts from the planned time.
+func measure(args arguments, round uint64, paths ...*path) {
+	random := rand.New(rand.NewPCG(args.Seed, round))
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer client.CloseIdleConnections()
+	for _, p := range paths {
+		p.hist = hdrhistogram.New(1, maxLatencyUS, 3)
+	}
+	gap := time.Second / time.Duration(args.Rate*len(paths))
+	total := int(args.Duration / gap)
+	warm := total / 10 // connections open in this part; it isn't recorded
+	started := time.Now()
+	var wait sync.WaitGroup
+	for i := range total {
+		planned := started.Add(time.Duration(i) * gap)
+		time.Sleep(time.Until(planned))
+		p := paths[i%len(paths)]
+		addr := p.addr(random)
+		wait.Go(func() { p.call(client, addr, planned, i >= warm) })
+	}
+	wait.Wait()
+}
+
+func (p *path) call(client *http.Client, addr string, planned time.Time, record bool) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+addr+"/bales", nil)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "storefront"
+	response, err := client.Do(request)
+	ok := err == nil
+	if ok {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		ok = err == nil && response.StatusCode == http.StatusOK
+	}
+	latency := time.Since(planned)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !ok {
+		p.bad++
+		return
+	}
+	if record {
+		_ = p.hist.RecordValue(min(latency.Microseconds(), maxLatencyUS)) // in range
+	}
+}
+
+var quantiles = []float64{50, 99, 99.9}
+
+func report(round int, direct, entry *path) {
+	sort.Float64s(quantiles)
+	line := fmt.Sprintf("%5d", round+1)
+	base := ""
+	for _, q := range quantiles {
+		straight, through := direct.hist.ValueAtQuantile(q), entry.hist.ValueAtQuantile(q)
+		line += fmt.Sprintf("  %+8.2f ms", float64(through-straight)/1000)
+		base += fmt.Sprintf(" %.2f", float64(straight)/1000)
+	}
+	fmt.Printf("%s   (%s ms)  %d/%d\n", line, base, direct.bad, entry.bad)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	self      cluster.Member
 	view      *cluster.View
 	metrics   *telemetry.Registry
+	metering  *metering
 	peers     *peerClients
 	control   *control.Node
 	keys      *keys.Service
@@ -52,8 +53,10 @@
 
 // New builds a node and opens its listeners.
 func New(set *settings.Settings) (*Daemon, error) {
-	d := &Daemon{settings: set, self: newSelf(set), metrics: telemetry.New(), peers: newPeerClients()}
+	d := &Daemon{settings: set, self: newSelf(set), metrics: telemetry.New()}
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
+	d.metering = &metering{bytes: budget.NewBytes(defaultLimits, nil), view: d.view}
+	d.peers = newPeerClients(d.metering)
 	client := platform.NewClient(platform.Config{
 		Addr:             set.PlatformAddr,
 		TryTimeout:       set.PlatformTryTimeout,
@@ -124,6 +127,7 @@
 		Gate:       keyGate{d},
 		Peers:      quarantine.NewPeers(d.view, d.peers.kept),
 		HealthPath: d.settings.TargetHealthPath,
+		MaySample:  d.metering.sample,
 	})
 	service, err := keys.New(keys.Config{
 		Self:    d.self,
@@ -165,7 +169,7 @@
 	d.policies = entry.NewPolicies(entry.PoliciesConfig{
 		Self:      d.self,
 		Probe:     d.peers.probe,
-		Bytes:     budget.NewBytes(budget.Limits{}, nil),
+		Bytes:     d.metering.bytes,
 		Transport: d.transport,
 		Metrics:   d.metrics,
 	})
@@ -194,6 +198,10 @@
 		d.inbound.WatchHealth(running)
 		return nil
 	})
+	group.Go(func() error {
+		d.refresh(running)
+		return nil
+	})
 	d.listeners.serve(group)
 	klog.Infof("node %s serves service %s: entry %s, peers %s, admin %s", d.self.ID, d.self.Service,
 		d.settings.EntryAddr, d.settings.PeerAddr, d.settings.AdminAddr)
@@ -212,6 +220,24 @@
 	return drained
 }
 
+// refreshInterval bounds how long a node without calls goes on with older budgets.
+const refreshInterval = time.Second
+
+// refresh takes over new snapshots and publishes gauges until ctx ends.
+func (d *Daemon) refresh(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		d.policies.Update(d.view.Load())
+		d.metering.publish(d.metrics)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // drain refuses new work, finishes what is in flight, hands keys over and leaves.
 func (d *Daemon) drain() error {
 	klog.Infof("node %s drains", d.self.ID)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -109,7 +109,7 @@
 		rpc.NewKeysServer(d.keys),
 	}
 	for _, service := range services {
-		mux.Handle(service.PathPrefix(), service)
+		mux.Handle(service.PathPrefix(), d.metering.serve(service))
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		switch {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -23,15 +23,16 @@
 	fresh *http.Client // opens a connection for each call
 }
 
-func newPeerClients() *peerClients {
+func newPeerClients(metering *metering) *peerClients {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	metering.next = &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: peerIdleConns,
+		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
+	}
 	return &peerClients{
-		kept: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: peerIdleConns,
-			IdleConnTimeout:     peerIdleTimeout,
-			DisableCompression:  true,
-		}},
+		kept: &http.Client{Transport: metering},
 		fresh: &http.Client{Transport: &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -111,11 +111,14 @@
 	header.Set(wire.AttemptHeader, a.id.String())
 	header.Set(wire.Incarnation, a.member.ID)
 	header.Set(wire.TimeoutMS, strconv.FormatInt(max(a.call.left().Milliseconds(), 1), 10))
-	header.Set(wire.Depth, strconv.Itoa(a.call.depth))
+	header.Set(wire.Depth, strconv.Itoa(a.call.depth+1)) // of calls that the target makes
 	header.Set(wire.Attempts, strconv.Itoa(a.sends))
 	if a.call.idempotent {
 		header.Set(wire.Idempotent, "1")
 	}
+	if a.member.Region != a.call.snapshot.Self.Region {
+		header.Set(wire.Link, "1")
+	}
 	if a.grant != nil {
 		header.Set(wire.KeyOwner, a.grant.owner)
 		header.Set(wire.RosterVersion, strconv.FormatUint(a.grant.rosterVersion, 10))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -97,7 +97,6 @@
 	metrics *telemetry.Registry
 	entry   *httptest.Server
 	runs    sync.Map // order → *atomic.Int64
-	delay   atomic.Int64
 }
 
 func newFixture(t *testing.T, nodes int, target http.HandlerFunc) *fixture {
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -24,8 +24,8 @@
 
 // nodeHeaders are for nodes only.
 var nodeHeaders = []string{
-	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.KeyOwner, wire.RosterVersion,
-	wire.NotAfter,
+	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
+	wire.RosterVersion, wire.NotAfter,
 }
 
 func removeHeaders(header http.Header, names []string) {
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -13,7 +13,6 @@
 
 	"github.com/acacialock/acacialock/internal/attempt"
 	"github.com/acacialock/acacialock/internal/failure"
-	"github.com/acacialock/acacialock/internal/wire"
 )
 
 // copyBytes is the size of the buffer between the target and the caller.
@@ -69,7 +68,7 @@
 	for _, name := range announced {
 		header.Add("Trailer", name)
 	}
-	header.Set(wire.Load, e.handler.gate.Sample().String())
+	e.handler.addSample(header, e.r)
 	if _, ok := header["Date"]; !ok {
 		header["Date"] = nil // keeps the server from adding its own
 	}
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -38,6 +38,9 @@
 	Gate       KeyGate          // nil: keyed attempts are refused
 	Peers      quarantine.Peers // nil: suspects of a crash are not shared
 	HealthPath string           // path that WatchHealth asks; empty: none
+	// MaySample charges a load sample to the budget of measuring and reports whether the answer may carry it; nil:
+	// every answer does.
+	MaySample func(crossesLink bool) bool
 	// MaxAttempts and MaxAnswerBytes bound the ledger; 0 takes its defaults.
 	MaxAttempts    int
 	MaxAnswerBytes int
@@ -94,7 +97,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.applyLimits()
 	if refused := h.serve(w, r); refused != nil {
-		h.refuse(w, refused)
+		h.refuse(w, r, refused)
 	}
 }
 
@@ -140,12 +143,12 @@
 }
 
 // refuse answers with a failure.
-func (h *Handler) refuse(w http.ResponseWriter, failed *failure.Error) {
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failed *failure.Error) {
 	h.config.Metrics.Refused(role, failed.Reason)
 	header := w.Header()
 	header.Set(wire.Reason, string(failed.Reason))
 	header.Set(wire.Outcome, string(failed.Outcome))
-	header.Set(wire.Load, h.gate.Sample().String())
+	h.addSample(header, r)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(failed.RetryAfter.Seconds())))
@@ -153,3 +156,10 @@
 	w.WriteHeader(failed.Status())
 	_, _ = w.Write([]byte(failed.Detail + "\n")) // the entry node may have gone away
 }
+
+// addSample adds the load sample to an answer when the budget of measuring has room for it.
+func (h *Handler) addSample(header http.Header, r *http.Request) {
+	if h.config.MaySample == nil || h.config.MaySample(r.Header.Get(wire.Link) != "") {
+		header.Set(wire.Load, h.gate.Sample().String())
+	}
+}
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -18,7 +18,7 @@
 
 // innerRequest headers are for this node and not for the target.
 var innerRequest = []string{
-	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.KeyOwner, wire.RosterVersion,
+	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner, wire.RosterVersion,
 	wire.NotAfter, wire.TimeoutMS,
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,6 +31,7 @@
 	Idempotent    = "Acacialock-Idempotent"  // "1" when the attempt may run more than once
 	KeyOwner      = "Acacialock-Key-Owner"   // member id of the owner that granted the attempt
 	RosterVersion = "Acacialock-Roster"      // roster version of the grant
+	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
 // NotAfter tells the target the Unix time in milliseconds after which it must not start the request.
