Strengthen tests that let injected faults pass

Faults injected on a scratch copy survived for: the wait for another request's share, the second verdict after the wait for a slot, the bound of the wait to run alone, the grace of a drain and the choice of the suspect to forget. Each is now found by a test.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -30,24 +30,25 @@
 }
 
 func drawPlan(t *rapid.T) plan {
+	one := func(name string, values ...int) int { return rapid.SampledFrom(values).Draw(t, name) }
 	limits := func(name string) Limits {
-		return Limits{Slots: rapid.IntRange(1, 4).Draw(t, name), Queue: rapid.IntRange(0, 5).Draw(t, name+" queue")}
+		return Limits{Slots: one(name, 1, 2, 4), Queue: one(name+" queue", 0, 1, 5)}
 	}
 	p := plan{
 		before:    limits("before"),
 		after:     limits("after"),
-		changesAt: rapid.IntRange(0, 300).Draw(t, "changes at"),
-		drainAt:   rapid.IntRange(0, 400).Draw(t, "drain at"),
+		changesAt: one("changes at", 0, 3, 50, 250),
+		drainAt:   one("drain at", 0, 10, 90, 400),
 	}
 	at := 0
-	for range rapid.IntRange(1, 60).Draw(t, "requests") {
-		at += rapid.IntRange(1, 20).Draw(t, "gap")
+	for range rapid.IntRange(10, 60).Draw(t, "requests") {
+		at += one("gap", 1, 3, 20)
 		p.requests = append(p.requests, request{
 			arrives:  at,
-			service:  rapid.IntRange(1, 100).Draw(t, "service"),
-			deadline: rapid.IntRange(1, 3000).Draw(t, "deadline"),
-			leaves:   rapid.IntRange(1, 3000).Draw(t, "leaves"),
-			alone:    rapid.IntRange(0, 7).Draw(t, "alone") == 0,
+			service:  one("service", 1, 10, 60, 400, 2500),
+			deadline: one("deadline", 5, 50, 300, 2000, 20000),
+			leaves:   one("leaves", 40, 1500, 20000),
+			alone:    one("alone", 0, 0, 0, 0, 0, 1) == 1,
 		})
 	}
 	return p
@@ -216,6 +217,12 @@
 		assert.Equal(t, time.Since(began), 150*time.Millisecond)
 		slot.Release(true)
 
+		slot, refused = gate.Acquire(ctx, in(10*time.Second))
+		assert.Assert(t, refused == nil)
+		time.AfterFunc(time.Second, func() { slot.Release(true) }) // raises the estimate to about 200 ms
+		_, refused = gate.Acquire(ctx, in(1150*time.Millisecond))
+		assert.Equal(t, refused.Reason, failure.DeadlineUnreachable, "150 ms are left when the slot is free")
+
 		slot, refused = gate.Acquire(ctx, in(10*time.Millisecond))
 		assert.Assert(t, refused == nil, "a free slot teaches the estimate")
 		slot.Release(true)
--- a/internal/inbound/crash_test.go
+++ b/internal/inbound/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/quarantine"
+	"github.com/acacialock/acacialock/internal/rpc"
 )
 
 func sayHello(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "hello") }
@@ -138,6 +141,39 @@
 	assert.Equal(t, values["quarantine.cleared"], int64(1))
 }
 
+// slowPeers stands for nodes that take time to answer a share.
+type slowPeers struct {
+	quarantine.Peers
+	answered atomic.Bool
+}
+
+func (p *slowPeers) Share(context.Context, []*rpc.Suspect) {
+	time.Sleep(50 * time.Millisecond)
+	p.answered.Store(true)
+}
+
+// Guards against a caller that gets its answer, and may send the request again, before the other nodes know the suspect.
+func TestSuspectsAreSharedBeforeTheAnswer(t *testing.T) {
+	var entered sync.WaitGroup
+	entered.Add(2)
+	target := startCrashTarget(t, -1, func(_ http.ResponseWriter, r *http.Request) {
+		entered.Done()
+		<-r.Context().Done()
+	})
+	peers := &slowPeers{}
+	one := startNode(t, target.addr, func(c *Config) { c.Peers = peers })
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() {
+			broken := one.send(context.Background(), call{method: "POST", path: "/"})
+			assert.Check(t, broken.reason() == failure.TargetBroke && peers.answered.Load())
+		})
+	}
+	entered.Wait()
+	target.die(nil)
+	group.Wait()
+}
+
 // Guards against a dead target that is reported as if it had run something, and against an exchange that hangs until the
 // caller sends the rest of its body when the target dies.
 func TestDeadTarget(t *testing.T) {
--- a/internal/inbound/refusal_test.go
+++ b/internal/inbound/refusal_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/quarantine"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/wire"
@@ -59,11 +62,16 @@
 		wire.KeyOwner:       {"owner@1", failure.BadKey},
 		wire.IdempotencyKey: {"key", failure.BadRequest},
 	} {
-		r := one.request(context.Background(), call{method: "POST", path: "/"})
+		// The body is not read; the connection must serve the next request, or be closed.
+		r := one.request(context.Background(), call{method: "POST", path: "/", body: strings.NewReader("lot")})
 		r.Header.Set(name, change.value)
+		r.GetBody = nil
 		answer, err := one.client.Transport.RoundTrip(r)
 		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.NilError(t, err)
 		assert.NilError(t, answer.Body.Close())
+		assert.Assert(t, !answer.Close)
 		assert.Equal(t, answer.Header.Get(wire.Reason), string(change.reason))
 		assert.Equal(t, answer.Header.Get(wire.Outcome), string(failure.NotRun))
 		assert.Assert(t, answer.Header.Get(wire.Load) != "")
@@ -114,6 +122,38 @@
 	assert.Equal(t, runs.Load(), int64(1))
 }
 
+// Guards against a request that was judged before it waited for a slot and runs although it crashed targets meanwhile.
+func TestWaitingRequestIsJudgedAgain(t *testing.T) {
+	var runs atomic.Int64
+	entered, release := make(chan struct{}), make(chan struct{})
+	addr := startTarget(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		entered <- struct{}{}
+		<-release
+	})
+	one := startNode(t, addr, nil)
+	one.setLimits(servicelist.Limits{Slots: 1, Connections: 260, Queue: 2})
+	var group sync.WaitGroup
+	group.Go(func() { one.send(context.Background(), call{method: "POST", path: "/"}) })
+	<-entered
+	group.Go(func() {
+		refused := one.send(context.Background(), call{method: "POST", path: "/bad", body: strings.NewReader("lot")})
+		assert.Check(t, refused.reason() == failure.Quarantined)
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return poll.Compare(cmp.Equal(one.Sample().Queued, 1)) })
+	digest := quarantine.NewDigest(service, "POST", "/bad")
+	digest.Write([]byte("lot"))
+	digest.End()
+	bad := digest.Fingerprint()
+	_, err := one.Share(context.Background(), &rpc.ShareRequest{Service: service, Suspects: []*rpc.Suspect{
+		{Fingerprint: bad[:], Crashes: 2, ExpiresMs: 60000, Origin: "other@1"},
+	}})
+	assert.NilError(t, err)
+	close(release)
+	group.Wait()
+	assert.Equal(t, runs.Load(), int64(1))
+}
+
 // Guards against a keyed attempt that runs after the authority lapsed while it waited, and against records that lack
 // what the handover and the target need.
 func TestKeyedAttempt(t *testing.T) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -90,8 +90,7 @@
 func TestStoreIsBounded(t *testing.T) {
 	store := NewStore("a", time.Now)
 	bad := fingerprintOf(0)
-	store.Mark([]Fingerprint{bad})
-	store.Mark([]Fingerprint{bad})
+	store.Merge([]*rpc.Suspect{{Fingerprint: bad[:], Origin: "b", Crashes: 2, ExpiresMs: 30000}})
 	for n := 1; n < 3*MaxSuspects; n++ {
 		f := fingerprintOf(n)
 		store.Merge([]*rpc.Suspect{{Fingerprint: f[:], Origin: "b", Crashes: 1, ExpiresMs: 60000}})
