Take over suspects at the start, judge timed-out requests, bound waiting suspects

A node that starts asks other members for the suspects they know; without it, a quarantined request took down the target of each node started later. A request that times out at a target that accepts no connect now counts as a crash. A refusal no longer asks for the body of a request with "Expect: 100-continue".

--- a/internal/attempt/ledger_test.go
+++ b/internal/attempt/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,31 +223,17 @@
 	}
 }
 
-// One mutex gives millions of attempts per second over all cores; a node sees some thousands.
+// BenchmarkLedger lets 400 attempts arrive per second of the ledger's clock, so that entries expire as fast as they come.
 func BenchmarkLedger(b *testing.B) {
-	var mu sync.Mutex
-	now := time.Unix(1000, 0)
-	next := 0
-	ledger := New(Config{Self: self, Now: func() time.Time { mu.Lock(); defer mu.Unlock(); return now }})
-	take := func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		next++
-		if next%400 == 0 { // 400 attempts/s, so that entries expire at the rate at which they come
-			now = now.Add(time.Second)
-		}
-		return next
-	}
+	var next atomic.Int64
+	now := func() time.Time { return time.Unix(next.Load()/400, 0) }
+	ledger := New(Config{Self: self, Now: now})
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			handle, failed := ledger.Begin(Call{ID: idOf(take())})
-			if failed != nil {
-				b.Error(failed)
-				return
-			}
-			if failed := handle.Dispatch(); failed != nil {
-				b.Error(failed)
+			handle, failed := ledger.Begin(Call{ID: idOf(int(next.Add(1)))})
+			if failed != nil || handle.Dispatch() != nil {
+				b.Error("the attempt was refused")
 				return
 			}
 			handle.Done(nil)
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -27,6 +27,7 @@
 	source   io.Reader
 	digest   *quarantine.Digest
 	length   int64 // as in http.Request.ContentLength
+	expects  bool  // the caller sends the body after an answer of 100, which a read gives
 	control  *http.ResponseController
 	deadline time.Time
 	closed   atomic.Bool
@@ -118,7 +119,12 @@
 
 // newRequestBody reads the body of a forwarded request, also after the answer began.
 func newRequestBody(w http.ResponseWriter, r *http.Request) *requestBody {
-	body := &requestBody{source: r.Body, length: r.ContentLength, control: http.NewResponseController(w)}
+	body := &requestBody{
+		source:  r.Body,
+		length:  r.ContentLength,
+		expects: r.Header.Get("Expect") != "",
+		control: http.NewResponseController(w),
+	}
 	if body.length != 0 {
 		_ = body.control.EnableFullDuplex() // fails for HTTP/2 only, which needs no such call
 	}
@@ -137,7 +143,7 @@
 	b.interrupt()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err == io.EOF || b.err == nil && b.discard() {
+	if b.err == io.EOF || b.err == nil && !b.expects && b.discard() {
 		return
 	}
 	_ = b.control.SetReadDeadline(time.Unix(1, 0))
--- a/internal/inbound/broken.go
+++ b/internal/inbound/broken.go
@@ -36,6 +36,9 @@
 // ended is the failure of a request that the target may have run.
 func (e *exchange) ended(ctx context.Context, err error) *failure.Error {
 	if failed := contextFailure(ctx, failure.Unknown); failed != nil {
+		if failed.Reason == failure.DeadlineExceeded {
+			e.watch.TimedOut(ctx)
+		}
 		return failed
 	}
 	if cause := e.body.failed(); cause != nil {
--- a/internal/inbound/crash_test.go
+++ b/internal/inbound/crash_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,26 +26,31 @@
 type crashCluster struct {
 	nodes   []*node
 	targets []*crashTarget
+	members []cluster.Member
 }
 
 func startCrashCluster(t *testing.T, size int, pause time.Duration) *crashCluster {
 	c := &crashCluster{}
-	var members []cluster.Member
 	for range size {
 		target := startCrashTarget(t, pause, sayHello)
 		one := startNode(t, target.addr, nil)
 		c.targets = append(c.targets, target)
 		c.nodes = append(c.nodes, one)
-		members = append(members, one.self)
+		c.members = append(c.members, one.self)
 	}
 	for _, one := range c.nodes {
-		snapshot := *one.view.Load()
-		snapshot.Members = map[string][]cluster.Member{service: members}
-		one.view.Publish(&snapshot)
+		c.introduce(one)
 	}
 	return c
 }
 
+// introduce lets the node know the members.
+func (c *crashCluster) introduce(one *node) {
+	snapshot := *one.view.Load()
+	snapshot.Members = map[string][]cluster.Member{service: c.members}
+	one.view.Publish(&snapshot)
+}
+
 func (c *crashCluster) crashes() int {
 	total := 0
 	for _, target := range c.targets {
@@ -65,7 +72,7 @@
 
 // Guards against a request that takes down a third target when its caller sends it again for ever through any node,
 // after each answer or in copies that arrive together at different targets, and against targets that refuse other
-// requests because of it. The targets are back at once or after a pause.
+// requests because of it. The targets are back at once or after a pause, and a node starts after the crashes.
 func TestCrashingRequestTakesDownTwoTargets(t *testing.T) {
 	for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
 		for _, copies := range []int{1, 2, 12} {
@@ -85,7 +92,10 @@
 					c.warm()
 				}
 				assert.Equal(t, c.crashes(), 2)
-				for _, one := range c.nodes {
+				late := startNode(t, c.targets[0].addr, nil)
+				c.introduce(late)
+				late.TakeOverSuspects(context.Background())
+				for _, one := range append(c.nodes, late) {
 					refused := one.send(context.Background(), bad)
 					assert.Equal(t, refused.reason(), failure.Quarantined)
 					assert.Equal(t, refused.outcome(), failure.NotRun)
@@ -196,3 +206,20 @@
 	assert.Equal(t, refused.outcome(), failure.NotRun)
 	assert.Equal(t, one.Sample().InFlight, 0)
 }
+
+// Guards against a target that hangs and whose requests are never suspected: it accepts two connections, for the request
+// and the sentinel, and no further connect.
+func TestHangingTargetIsTakenForDead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 1) }))
+	assert.NilError(t, err)
+	one := startNode(t, listener.Addr().String(), nil)
+	late := one.send(context.Background(), call{method: "POST", path: "/", timeout: 100 * time.Millisecond})
+	assert.Equal(t, late.reason(), failure.DeadlineExceeded)
+	assert.Equal(t, late.outcome(), failure.Unknown)
+	assert.Equal(t, one.config.Metrics.Values()["quarantine.crashes"], int64(1))
+}
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -77,6 +77,10 @@
 	return h
 }
 
+// TakeOverSuspects learns the suspects of crashes that other nodes know. It is called at the start, once the view shows
+// members of the service and before requests are served.
+func (h *Handler) TakeOverSuspects(ctx context.Context) { h.guard.TakeOver(ctx) }
+
 // Close closes the idle connections to the target.
 func (h *Handler) Close() {
 	h.guard.Close()
--- a/internal/inbound/node_test.go
+++ b/internal/inbound/node_test.go
@@ -176,8 +176,10 @@
 }
 
 func startCrashTarget(t testing.TB, pause time.Duration, handler http.HandlerFunc) *crashTarget {
-	target := &crashTarget{addr: "127.0.0.1:0", pause: pause, handler: handler}
-	assert.NilError(t, target.listen())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	target := &crashTarget{addr: listener.Addr().String(), pause: pause, handler: handler}
+	target.serve(listener)
 	t.Cleanup(func() {
 		target.ended.Store(true)
 		target.die(nil)
@@ -186,14 +188,9 @@
 	return target
 }
 
-func (c *crashTarget) listen() error {
+func (c *crashTarget) serve(listener net.Listener) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	listener, err := net.Listen("tcp", c.addr)
-	if err != nil {
-		return err
-	}
-	c.addr = listener.Addr().String()
 	conns := map[net.Conn]struct{}{}
 	c.conns = conns
 	server := &http.Server{Handler: c, ConnState: func(conn net.Conn, state http.ConnState) {
@@ -206,7 +203,6 @@
 	}}
 	c.server = server
 	c.group.Go(func() { _ = server.Serve(listener) })
-	return nil
 }
 
 func (c *crashTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -238,12 +234,23 @@
 	}
 	c.group.Go(func() {
 		_ = dying.Close()
-		if server == nil || c.pause < 0 {
-			return
-		}
-		time.Sleep(c.pause)
-		for !c.ended.Load() && c.listen() != nil {
-			time.Sleep(time.Millisecond)
+		if server != nil && c.pause >= 0 {
+			time.Sleep(c.pause)
+			c.comeBack()
 		}
 	})
 }
+
+func (c *crashTarget) comeBack() {
+	for !c.ended.Load() {
+		listener, err := net.Listen("tcp", c.addr)
+		if err == nil {
+			c.serve(listener)
+			if c.ended.Load() {
+				c.die(nil)
+			}
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/inbound/refusal_test.go
+++ b/internal/inbound/refusal_test.go
@@ -243,17 +243,26 @@
 		if r.URL.Path == "/ok" {
 			return
 		}
-		w.Header().Set("Connection", "close")
-		w.Header().Set(wire.TargetDraining, "1")
+		if r.URL.Path == "/leave" {
+			w.Header().Set("Connection", "close")
+			w.Header().Set(wire.TargetDraining, "1")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	one := startNode(t, addr, nil)
-	ok := one.send(context.Background(), call{method: "GET", path: "/ok", idempotent: true})
-	assert.Equal(t, ok.StatusCode, http.StatusOK)
+	one := startNode(t, addr, func(c *Config) { c.HealthPath = "/health" })
+	get := func(path string) int {
+		return one.send(context.Background(), call{method: "GET", path: path, idempotent: true}).StatusCode
+	}
+	assert.Equal(t, get("/busy"), http.StatusServiceUnavailable)
 	assert.Assert(t, one.DrainHint().IsZero())
-	one.send(context.Background(), call{method: "GET", path: "/", idempotent: true})
+	assert.Equal(t, get("/leave"), http.StatusServiceUnavailable)
 	assert.Assert(t, !one.DrainHint().IsZero())
+	first := one.DrainHint()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancelled := time.AfterFunc(50*time.Millisecond, cancel)
+	defer cancelled.Stop()
+	one.WatchHealth(ctx)
+	assert.Assert(t, one.DrainHint().After(first))
 	assert.Assert(t, !one.Sample().Draining)
-	ok = one.send(context.Background(), call{method: "GET", path: "/ok", idempotent: true})
-	assert.Equal(t, ok.StatusCode, http.StatusOK)
+	assert.Equal(t, get("/ok"), http.StatusOK)
 }
--- a/internal/inbound/rpc.go
+++ b/internal/inbound/rpc.go
@@ -100,6 +100,9 @@
 	if request.GetService() != h.config.Self.Service {
 		return nil, twirp.InvalidArgumentError("service", "is not served here")
 	}
+	if len(request.GetSuspects()) == 0 {
+		return &rpc.ShareResponse{Known: h.guard.Store().Known()}, nil
+	}
 	h.guard.Store().Merge(request.GetSuspects())
 	return &rpc.ShareResponse{}, nil
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -19,6 +19,8 @@
 	turnWait = time.Second
 	// turnPoll is the time between two attempts to get the turn.
 	turnPoll = 20 * time.Millisecond
+	// maxWaiting bounds the suspects that wait for their turn, each with up to MaxBody bytes in memory.
+	maxWaiting = 32
 	// permitMargin is added to the time left of a request for its permit: for the wait for the slot and the share.
 	permitMargin = 3 * time.Second
 )
@@ -27,6 +29,8 @@
 type Peers interface {
 	// Share sends suspects to all of them and returns when they answered, after a short time at the latest.
 	Share(ctx context.Context, suspects []*rpc.Suspect)
+	// Known asks some of them for their suspects.
+	Known(ctx context.Context) []*rpc.Suspect
 	// Permit asks a coordinator.
 	Permit(ctx context.Context, coordinator cluster.Member, request *rpc.PermitRequest) (*rpc.PermitResponse, error)
 }
@@ -46,6 +50,7 @@
 	store   *Store
 	monitor *monitor
 	turn    atomic.Bool // a suspect runs alone here, or has the permit to
+	waiting atomic.Int32
 }
 
 // NewGuard returns a guard that knows no suspect.
@@ -57,6 +62,13 @@
 	}
 }
 
+// TakeOver learns the suspects of other nodes. A node calls it when it starts, once it knows members of its service.
+func (g *Guard) TakeOver(ctx context.Context) {
+	if g.config.Peers != nil {
+		g.store.Merge(g.config.Peers.Known(ctx))
+	}
+}
+
 // Close ends the watch over the target.
 func (g *Guard) Close() { g.monitor.sentinel.close() }
 
@@ -90,6 +102,10 @@
 	if !g.store.suspected(digest.head) {
 		return pass, nil
 	}
+	defer g.waiting.Add(-1)
+	if g.waiting.Add(1) > maxWaiting {
+		return nil, noTurn()
+	}
 	prefix, err := body.Prefix()
 	if err != nil {
 		return nil, failure.Wrap(err, failure.CallerGone, failure.NotRun, "the body could not be read")
@@ -131,7 +147,7 @@
 			pass.alone, pass.matched = true, matched
 			return pass, nil
 		case time.Now().After(until):
-			return nil, failure.New(failure.QueueFull, failure.NotRun, "a suspect of a crash did not get its turn")
+			return nil, noTurn()
 		}
 		if failed := sleep(ctx, turnPoll); failed != nil {
 			return nil, failed
@@ -156,6 +172,10 @@
 	return failed
 }
 
+func noTurn() *failure.Error {
+	return failure.New(failure.QueueFull, failure.NotRun, "a suspect of a crash did not get its turn to run alone")
+}
+
 // takeTurn gets the only turn of this node and then the permit of the coordinator.
 func (g *Guard) takeTurn(ctx context.Context, fingerprint Fingerprint, deadline time.Time) (granted, refused bool) {
 	if !g.turn.CompareAndSwap(false, true) {
--- a/internal/quarantine/monitor.go
+++ b/internal/quarantine/monitor.go
@@ -12,7 +12,7 @@
 
 const (
 	// connectTimeout is the time after which a target that answers no connect counts as dead.
-	connectTimeout = time.Second
+	connectTimeout = 500 * time.Millisecond
 	// crashWindow is the time by which the sentinel's break may precede the one of a request.
 	crashWindow = 50 * time.Millisecond
 	// settleTime is waited for further connections to break when the target accepts connects, as one that was restarted
@@ -91,13 +91,9 @@
 
 // died judges whether the target died when a request broke at that time.
 func (m *monitor) died(ctx context.Context, at time.Time) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
-	defer cancel()
-	probe, err := m.dialer.DialContext(ctx, "tcp", m.addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err)
+	if m.refuses(ctx) {
+		return true
 	}
-	_ = probe.Close() // nothing was sent
 	time.Sleep(time.Until(at.Add(settleTime)))
 	switch m.sentinel.state(at) {
 	case sentinelBroke:
@@ -108,6 +104,18 @@
 	return m.brokeTogether(at)
 }
 
+// refuses reports whether the target's process accepts no connect.
+func (m *monitor) refuses(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
+	defer cancel()
+	probe, err := m.dialer.DialContext(ctx, "tcp", m.addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err)
+	}
+	_ = probe.Close() // nothing was sent
+	return false
+}
+
 func isTimeout(err error) bool {
 	var network net.Error
 	return errors.As(err, &network) && network.Timeout()
--- a/internal/quarantine/peers.go
+++ b/internal/quarantine/peers.go
@@ -14,6 +14,8 @@
 const (
 	// shareTimeout bounds the time by which a share holds up the answer of a request that broke.
 	shareTimeout = 300 * time.Millisecond
+	// membersAsked is the number of members that a starting node asks for their suspects.
+	membersAsked = 3
 	// sharesAtOnce bounds the connections that one share opens.
 	sharesAtOnce = 64
 )
@@ -53,6 +55,27 @@
 	_ = group.Wait() // best effort; a member that missed it is found by the permit's coordinator
 }
 
+// Known implements Peers.
+func (p *twirpPeers) Known(ctx context.Context) []*rpc.Suspect {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	snapshot := p.view.Load()
+	request := &rpc.ShareRequest{Service: snapshot.Self.Service}
+	var known []*rpc.Suspect
+	asked := 0
+	for _, member := range snapshot.Members[snapshot.Self.Service] {
+		if member.ID == snapshot.Self.ID || asked == membersAsked {
+			continue
+		}
+		asked++
+		answer, err := p.service(member).Share(ctx, request)
+		if err == nil {
+			known = append(known, answer.GetKnown()...)
+		}
+	}
+	return known
+}
+
 // Permit implements Peers.
 func (p *twirpPeers) Permit(
 	ctx context.Context, coordinator cluster.Member, request *rpc.PermitRequest,
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -46,13 +46,26 @@
 	if !r.pass.alone && !m.died(ctx, at) {
 		return r.joined()
 	}
-	marked, crash := m.attribute(r, at)
+	r.crashed(ctx, at)
+	return true
+}
+
+// TimedOut judges a request that was not answered until its deadline. A target that accepts no connect counts as dead.
+func (r *Run) TimedOut(ctx context.Context) {
+	at := time.Now()
+	if r.guard.monitor.refuses(ctx) {
+		r.crashed(ctx, at)
+	}
+}
+
+// crashed marks and shares the requests at the target, or waits until another request did.
+func (r *Run) crashed(ctx context.Context, at time.Time) {
+	marked, crash := r.guard.monitor.attribute(r, at)
 	if len(marked) > 0 {
 		r.guard.crashed(ctx, marked)
 		close(crash.shared)
 	}
 	<-crash.shared
-	return true
 }
 
 // joined reports whether another request's judgement included this one, and waits for its share.
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -118,16 +118,34 @@
 	var marked []*rpc.Suspect
 	for _, fingerprint := range slices.Compact(fingerprints) {
 		found := s.add(fingerprint, s.self, s.crashesOf(fingerprint, s.self)+1, Duration)
-		marked = append(marked, &rpc.Suspect{
-			Fingerprint: fingerprint[:],
-			Crashes:     found.crashes[s.self],
-			ExpiresMs:   uint32(Duration.Milliseconds()),
-			Origin:      s.self,
-		})
+		marked = append(marked, message(fingerprint, s.self, found.crashes[s.self], Duration))
 	}
 	return marked
 }
 
+func message(fingerprint Fingerprint, origin string, crashes uint32, left time.Duration) *rpc.Suspect {
+	return &rpc.Suspect{
+		Fingerprint: fingerprint[:], Crashes: crashes, ExpiresMs: uint32(left.Milliseconds()), Origin: origin,
+	}
+}
+
+// Known returns all suspects, for a node that starts.
+func (s *Store) Known() []*rpc.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var known []*rpc.Suspect
+	for _, bodies := range s.suspects {
+		for fingerprint, found := range bodies {
+			left := found.expires.Sub(s.now())
+			for origin, crashes := range found.crashes {
+				known = append(known, message(fingerprint, origin, crashes, left))
+			}
+		}
+	}
+	return known
+}
+
 func (s *Store) crashesOf(fingerprint Fingerprint, origin string) uint32 {
 	if found := s.suspects[fingerprint.head()][fingerprint]; found != nil {
 		return found.crashes[origin]
@@ -140,7 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	for _, one := range shared[:min(len(shared), MaxSuspects)] {
+	for _, one := range shared[:min(len(shared), MaxSuspects*maxOrigins)] {
 		fingerprint, ok := Parse(one.GetFingerprint())
 		switch {
 		case !ok || one.GetOrigin() == s.self:
