Test the balancers and the budgets

Properties cover the choice under any order of events, the weight of samples, ejection, slow start, locality, the byte budget in any second and the order of cuts. Ejections end when members leave and more than a third would be ejected.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -116,7 +116,7 @@
 	if of.health.answers < minAnswers || !p.worse(of) {
 		return
 	}
-	if 3*(p.ejected()+1) > len(p.peers) {
+	if ejected, members := p.ejected(); 3*(ejected+1) > members {
 		p.count("ejection-limit")
 		return
 	}
@@ -141,14 +141,32 @@
 	return slow || failing
 }
 
-func (p *Pool) ejected() int {
-	count := 0
+// ejected counts the ejected members and those that don't drain.
+func (p *Pool) ejected() (ejected, members int) {
 	for _, member := range p.peers {
+		if member.gone() {
+			continue
+		}
+		members++
 		if member.ejection.ejected {
-			count++
+			ejected++
+		}
+	}
+	return ejected, members
+}
+
+// limitEjections ends ejections when members left and the ejected ones are more than a third of the rest.
+func (p *Pool) limitEjections(now time.Time) {
+	for _, member := range p.peers {
+		ejected, members := p.ejected()
+		if 3*ejected <= members {
+			return
+		}
+		if member.ejection.ejected && !member.gone() {
+			member.ejection.end(now)
+			p.count("ejection-limit")
 		}
 	}
-	return count
 }
 
 func median(values []float64) float64 {
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -43,6 +43,9 @@
 	maxSampleAge = time.Second
 )
 
+// gone reports whether the member drains.
+func (p *peer) gone() bool { return p.draining || p.member.Draining }
+
 // observe keeps the sample unless a newer one is known.
 func (p *peer) observe(reported wire.LoadSample, at time.Time) {
 	if p.sample.known && at.Before(p.sample.at) {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -19,7 +19,6 @@
 	mu     sync.Mutex // held for one pass over the members at most
 	peers  []*peer    // replaced whole by Update, sorted by id
 	random *rand.Rand
-	first  bool // no member set has been installed yet
 
 	fleet     fleet
 	overdueAt float64 // see overdue
@@ -36,7 +35,7 @@
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
-	pool := &Pool{config: config, first: true, overdueAt: minOverdue, random: rand.New(rand.NewPCG(config.Seed, 1))}
+	pool := &Pool{config: config, overdueAt: minOverdue, random: rand.New(rand.NewPCG(config.Seed, 1))}
 	pool.probes.ctx, pool.probes.cancel = context.WithCancel(context.Background())
 	return pool
 }
@@ -64,13 +63,13 @@
 	}
 	slices.SortFunc(next, func(a, b *peer) int { return compareIDs(a, b) })
 	p.peers = next
-	p.first = false
+	p.limitEjections(now)
 }
 
 func (p *Pool) updated(old *peer, member cluster.Member, now time.Time) *peer {
 	if old == nil {
 		old = &peer{}
-		if !p.first {
+		if len(p.peers) > 0 {
 			old.start = slowStart{active: true, since: now}
 		}
 	}
@@ -126,6 +125,7 @@
 			p.learnOverdue(attempt, now)
 		}
 		p.record(chosen, result, now)
+		p.limitEjections(now)
 		if trial {
 			p.endTrial(chosen, result, now)
 		}
--- /dev/null
+++ b/internal/balance/pool_test.go
@@ -0,0 +1,274 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// bed is a pool with a clock that the test moves.
+type bed struct {
+	pool *Pool
+	now  time.Time
+}
+
+func newBed(members []cluster.Member, change func(*Config)) *bed {
+	b := &bed{now: time.Unix(5000, 0)}
+	config := Config{
+		Service: "s", Self: cluster.Member{Zone: "a1", Region: "a"}, Seed: 9,
+		Clock: func() time.Time { return b.now },
+	}
+	if change != nil {
+		change(&config)
+	}
+	b.pool = NewPool(config)
+	b.pool.Update(members)
+	return b
+}
+
+func member(i int, zone, region string) cluster.Member {
+	return cluster.Member{ID: fmt.Sprintf("m%02d@1", i), Service: "s", Zone: zone, Region: region}
+}
+
+func sameZoneMembers(n int) []cluster.Member {
+	var members []cluster.Member
+	for i := range n {
+		members = append(members, member(i, "a1", "a"))
+	}
+	return members
+}
+
+func (b *bed) peer(id string) *peer {
+	i := slices.IndexFunc(b.pool.peers, func(p *peer) bool { return p.member.ID == id })
+	return b.pool.peers[i]
+}
+
+// answer makes one call whose target answers as latencyOf says; a negative latency is a failure.
+func (b *bed) answer(t assert.TestingT, latencyOf func(id string) time.Duration) string {
+	pick, err := b.pool.Pick(Request{})
+	assert.NilError(t, err)
+	latency := latencyOf(pick.Member.ID)
+	if latency < 0 {
+		b.now = b.now.Add(time.Millisecond)
+		pick.Done(Result{Class: Failed, Reason: failure.ConnectFailed})
+		return pick.Member.ID
+	}
+	b.now = b.now.Add(latency)
+	pick.Done(Result{Latency: latency, Sample: &wire.LoadSample{InFlight: 1, Latency: 10 * time.Millisecond}})
+	return pick.Member.ID
+}
+
+var zones = []string{"a1", "a2", "b1", "b2"}
+
+func drawMembers(t *rapid.T) []cluster.Member {
+	var members []cluster.Member
+	for i := range rapid.IntRange(0, 8).Draw(t, "members") {
+		zone := rapid.SampledFrom(zones).Draw(t, "zone")
+		next := member(rapid.IntRange(0, 1).Draw(t, "generation")*100+i, zone, zone[:1])
+		next.Draining = rapid.IntRange(0, 4).Draw(t, "drains") == 0
+		members = append(members, next)
+	}
+	return members
+}
+
+func drawResult(t *rapid.T) Result {
+	result := Result{
+		Class:   Class(rapid.IntRange(0, 3).Draw(t, "class")),
+		Latency: time.Duration(rapid.IntRange(0, 500).Draw(t, "latency")) * time.Millisecond,
+	}
+	if result.Class == Refused {
+		reasons := []failure.Reason{failure.Draining, failure.QueueFull, failure.WrongIncarnation, failure.Quarantined}
+		result.Reason = rapid.SampledFrom(reasons).Draw(t, "reason")
+	}
+	if rapid.Bool().Draw(t, "sampled") {
+		result.Sample = &wire.LoadSample{
+			InFlight: rapid.IntRange(0, 9).Draw(t, "in flight"),
+			Queued:   rapid.IntRange(0, 9).Draw(t, "queued"),
+			Latency:  time.Duration(rapid.IntRange(0, 300).Draw(t, "sampled latency")) * time.Millisecond,
+			Draining: result.Reason == failure.Draining || rapid.IntRange(0, 9).Draw(t, "sample drains") == 0,
+		}
+	}
+	return result
+}
+
+// Guards against a pick of a draining, tried or forbidden member, a refusal while a member is allowed, more than a
+// third ejected, and own counts that drift, in any order of events.
+func TestPoolKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed(drawMembers(t), nil)
+		var open []Pick
+		t.Repeat(map[string]func(*rapid.T){
+			"time passes": func(t *rapid.T) {
+				b.now = b.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"members change": func(t *rapid.T) { b.pool.Update(drawMembers(t)) },
+			"pick": func(t *rapid.T) {
+				if pick, ok := checkedPick(t, b); ok {
+					open = append(open, pick)
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "attempt")
+				result := drawResult(t)
+				open[i].Done(result)
+				open[i].Done(result)
+				open = slices.Delete(open, i, i+1)
+			},
+			"": func(t *rapid.T) {
+				ejected, members := b.pool.ejected()
+				assert.Assert(t, 3*ejected <= members, "%d of %d ejected", ejected, members)
+			},
+		})
+		for _, pick := range open {
+			pick.Done(Result{Class: Cancelled})
+		}
+		for _, peer := range b.pool.peers {
+			assert.Equal(t, peer.inFlight, 0)
+		}
+	})
+}
+
+// checkedPick picks with a random request and compares with the members that the request allows.
+func checkedPick(t *rapid.T, b *bed) (Pick, bool) {
+	request := Request{Region: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "region")}
+	allowed := map[string]bool{}
+	for _, peer := range b.pool.peers {
+		id := peer.member.ID
+		if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
+			request.Exclude = append(request.Exclude, id)
+			continue
+		}
+		inRegion := request.Region == "" || peer.member.Region == request.Region
+		allowed[id] = inRegion && !peer.member.Draining && !peer.draining
+	}
+	if len(b.pool.peers) > 0 && rapid.Bool().Draw(t, "keyed") {
+		request.Avoid = b.pool.peers[0].member.ID
+		allowed[request.Avoid] = false
+	}
+	pick, err := b.pool.Pick(request)
+	if err != nil {
+		assert.Equal(t, failure.As(err).Reason, failure.NoTarget)
+		assert.Equal(t, failure.As(err).Outcome, failure.NotRun)
+		for id, may := range allowed {
+			assert.Assert(t, !may, "%s was allowed", id)
+		}
+		return Pick{}, false
+	}
+	assert.Assert(t, allowed[pick.Member.ID], "%s was not allowed", pick.Member.ID)
+	return pick, true
+}
+
+// Guards against a sample that attracts picks for ever, and against a sample that outlives its use: an old one must
+// not keep a recovered straggler idle.
+func TestSampleLosesItsWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed(sameZoneMembers(rapid.IntRange(2, 9).Draw(t, "members")), nil)
+		for _, peer := range b.pool.peers {
+			load := rapid.IntRange(0, 18).Draw(t, "load")
+			latency := time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond
+			peer.observe(wire.LoadSample{InFlight: load, Latency: latency}, b.now)
+		}
+		b.pool.survey(b.now)
+		drawn := rapid.IntRange(0, len(b.pool.peers)-1).Draw(t, "member")
+		used := b.pool.peers[drawn]
+		for range maxSampleUses {
+			used.sent(b.now, 1)
+		}
+		b.pool.survey(b.now)
+		assert.Assert(t, b.pool.expectedLoad(used, b.now) >= b.pool.fleet.load, "a used sample still attracts")
+
+		used.attempts, used.inFlight = nil, 0
+		memory := max(loadMemory, serviceMemory) * b.pool.fleet.service
+		later := b.now.Add(time.Duration(20 * memory * float64(time.Second)))
+		byOwn := max(0, b.pool.fleet.load-ownWeight*b.pool.fleet.own)
+		assert.Assert(t, b.pool.expectedLoad(used, later)-byOwn < 0.01)
+		assert.Assert(t, b.pool.expectedService(used, later) < 1.01*b.pool.fleet.service)
+	})
+}
+
+// Guards against an entry node that gives up when every member looks bad.
+func TestSpreadsWhenAllLookBad(t *testing.T) {
+	b := newBed(sameZoneMembers(6), nil)
+	chosen := map[string]int{}
+	for range 600 {
+		chosen[b.answer(t, func(string) time.Duration { return -1 })]++
+	}
+	assert.Equal(t, len(chosen), 6)
+	for id, picks := range chosen {
+		assert.Assert(t, picks >= 30, "%s got %d of 600", id, picks)
+	}
+}
+
+// Guards against calls that leave the zone or cross the paid link without a gain or without room on the link.
+func TestLocality(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.Bool().Draw(t, "room")
+		members := []cluster.Member{member(0, "a1", "a"), member(1, "a2", "a"), member(2, "b1", "b")}
+		b := newBed(members, func(c *Config) { c.LinkRoom = func() bool { return room } })
+		load := rapid.IntRange(0, 9).Draw(t, "load")
+		for _, peer := range b.pool.peers {
+			peer.observe(wire.LoadSample{InFlight: load, Latency: 25 * time.Millisecond}, b.now)
+		}
+		pick, err := b.pool.Pick(Request{})
+		assert.NilError(t, err)
+		assert.Equal(t, pick.Member.Zone, "a1")
+		for _, peer := range b.pool.peers[:2] {
+			latency := time.Duration(rapid.IntRange(300, 900).Draw(t, "latency")) * time.Millisecond
+			peer.observe(wire.LoadSample{InFlight: 9, Queued: 9, Latency: 2 * latency}, b.now)
+		}
+		pick, err = b.pool.Pick(Request{})
+		assert.NilError(t, err)
+		assert.Equal(t, pick.Member.Region == "b", room)
+	})
+}
+
+// Guards against probes beyond the byte budget, probes that outlive Close, and data races of picks, results, probes
+// and updates.
+func TestProbesAndConcurrentUse(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	bytes := budget.NewBytes(budget.Limits{RegionBytesPerSecond: 4 * ProbeBytes}, func() time.Time { return time.Unix(1, 0) })
+	var mu sync.Mutex
+	probes := 0
+	probe := func(ctx context.Context, _ cluster.Member) (wire.LoadSample, error) {
+		mu.Lock()
+		probes++
+		mu.Unlock()
+		<-ctx.Done()
+		return wire.LoadSample{}, ctx.Err()
+	}
+	members := sameZoneMembers(5)
+	pool := NewPool(Config{Service: "s", Self: members[0], Probe: probe, Bytes: bytes, Seed: 2})
+	pool.Update(members)
+	var running sync.WaitGroup
+	for worker := range 8 {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for i := range 300 {
+				pool.Update(members[:3+(i+worker)%3])
+				pick, err := pool.Pick(Request{Avoid: members[0].ID})
+				assert.Check(t, err)
+				pick.Done(Result{Class: Class(i % 4), Latency: time.Duration(i), Sample: &wire.LoadSample{InFlight: i % 9}})
+			}
+		}()
+	}
+	running.Wait()
+	pool.Close()
+	assert.Equal(t, probes, 2) // half of the budget is reserved for other classes
+	assert.Equal(t, bytes.Written(budget.Probe, budget.Region), int64(2*ProbeBytes))
+}
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,111 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type spent struct {
+	at    time.Time
+	link  Link
+	bytes int
+}
+
+// Guards against measuring that costs more than the agreed budget in any span of one second, wherever it starts, and
+// against counters that differ from what was written.
+func TestBytesNeverExceedTheBudgetInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		limits := Limits{rapid.IntRange(0, 5000).Draw(t, "region"), rapid.IntRange(0, 1000).Draw(t, "link")}
+		bytes := NewBytes(limits, func() time.Time { return now })
+		var all []spent
+		var total [links]int64
+		for range rapid.IntRange(1, 200).Draw(t, "writes") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200_000).Draw(t, "µs")) * time.Microsecond)
+			link := Link(rapid.IntRange(0, int(links)-1).Draw(t, "link"))
+			class := Class(rapid.IntRange(0, int(classes)-1).Draw(t, "class"))
+			n := rapid.IntRange(1, 800).Draw(t, "bytes")
+			if bytes.Take(class, link, n) {
+				all = append(all, spent{now, link, n})
+				total[link] += int64(n)
+			}
+		}
+		for _, first := range all {
+			var sum [links]int
+			for _, other := range all {
+				if !other.at.Before(first.at) && other.at.Before(first.at.Add(time.Second)) {
+					sum[other.link] += other.bytes
+				}
+			}
+			assert.Assert(t, sum[Region] <= limits.RegionBytesPerSecond && sum[Paid] <= limits.LinkBytesPerSecond)
+		}
+		for link := range links {
+			written := int64(0)
+			for class := range classes {
+				written += bytes.Written(class, link)
+			}
+			assert.Equal(t, written, total[link])
+		}
+	})
+}
+
+// Guards against a cut in the wrong order, and against measuring that takes the bytes of heartbeats or configuration.
+func TestCutOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		used := rapid.IntRange(0, 1000).Draw(t, "bytes in use on each link")
+		allowed := func(class Class, link Link) bool {
+			now := time.Unix(100, 0)
+			bytes := NewBytes(Limits{1000, 1000}, func() time.Time { return now })
+			assert.Assert(t, used == 0 || bytes.Take(Heartbeat, link, used))
+			return bytes.Take(class, link, 1)
+		}
+		order := []bool{
+			allowed(Probe, Paid), allowed(Probe, Region), allowed(Sample, Paid), allowed(Sample, Region),
+			allowed(Configuration, Paid), allowed(Heartbeat, Paid),
+		}
+		for i := 1; i < len(order); i++ {
+			assert.Assert(t, order[i] || !order[i-1], "the class at %d was cut before the one at %d", i, i-1)
+		}
+		assert.Equal(t, order[0], used < 400)
+		assert.Equal(t, order[len(order)-1], used < 1000)
+	})
+}
+
+// Guards against a bucket that stays empty after use.
+func TestBytesReturnAfterASecond(t *testing.T) {
+	now := time.Unix(100, 0)
+	bytes := NewBytes(Limits{1000, 1000}, func() time.Time { return now })
+	for range 100 {
+		assert.Assert(t, bytes.Take(Heartbeat, Paid, 1000))
+		assert.Assert(t, !bytes.Take(Heartbeat, Paid, 1))
+		now = now.Add(time.Second + 2*slotLength)
+	}
+	assert.Equal(t, bytes.Denied(Heartbeat, Paid), int64(100))
+}
+
+// Guards against a retry storm, and against a service with few calls that may never retry.
+func TestRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		percent := rapid.SampledFrom([]int{0, 5, 10}).Draw(t, "percent")
+		ratio := NewRatio(percent, func() time.Time { return now })
+		assert.Equal(t, ratio.Spend(), percent > 0)
+		first, extra, began := 0, 0, now
+		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "first") > 0 {
+				ratio.First()
+				first++
+			} else if ratio.Spend() {
+				extra++
+			}
+		}
+		earned := float64(first)*float64(percent)/100 + now.Sub(began).Seconds()*floorPerSecond
+		assert.Assert(t, float64(extra) <= earned+0.001, "%d extra for %d first", extra, first)
+		now = now.Add(time.Duration(2 / floorPerSecond * float64(time.Second)))
+		assert.Equal(t, ratio.Spend(), percent > 0)
+	})
+}
