--- /dev/null
+++ b/internal/keys/failures_test.go
@@ -0,0 +1,215 @@
+package keys
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/rpc"
+)
+
+// settledSim returns a world whose members have activated one roster, with its first member and a key that it owns.
+func settledSim(t *testing.T, members int) (*sim, *proc, string) {
+	s := newSim(1, members, 0, 0)
+	s.advance(40 * time.Second)
+	p := s.nodes[0].proc
+	assert.Assert(t, p.machine.activated && len(p.machine.installed.Quorums) == 1)
+	for i := 0; ; i++ {
+		if key := fmt.Sprint("owned-", i); p.gate.roster.Owner(key).ID == p.id {
+			return s, p, key
+		}
+	}
+}
+
+func claimFor(p *proc, key string, attempt byte) *rpc.ClaimRequest {
+	return &rpc.ClaimRequest{Service: "orders", Key: key, Fingerprint: []byte("f"), Attempt: slices.Repeat([]byte{attempt}, 16),
+		Runner: p.gate.roster.Runners(key)[0].ID, RosterVersion: p.gate.roster.Version}
+}
+
+// TestClaimRefusals guards against a claim that is answered although the owner can't know the answer, and against a
+// wrong outcome.
+func TestClaimRefusals(t *testing.T) {
+	cases := []struct {
+		reason  failure.Reason
+		outcome failure.Outcome
+		prepare func(s *sim, p *proc, c *rpc.ClaimRequest)
+	}{
+		{"", "", func(*sim, *proc, *rpc.ClaimRequest) {}},
+		{failure.WrongService, failure.NotRun, func(_ *sim, _ *proc, c *rpc.ClaimRequest) { c.Service = "other" }},
+		{failure.KeyRosterMismatch, failure.NotRun, func(_ *sim, _ *proc, c *rpc.ClaimRequest) { c.RosterVersion-- }},
+		{failure.KeyRosterMismatch, failure.NotRun, func(_ *sim, p *proc, c *rpc.ClaimRequest) { c.Runner = p.id }},
+		{failure.KeyRosterMismatch, failure.NotRun, func(_ *sim, _ *proc, c *rpc.ClaimRequest) { c.Runner = "gone@1" }},
+		{failure.KeyRosterMismatch, failure.NotRun, func(_ *sim, p *proc, c *rpc.ClaimRequest) {
+			for i := 0; p.gate.roster.Owner(c.Key).ID == p.id; i++ {
+				c.Key = fmt.Sprint("other-", i)
+			}
+		}},
+		{failure.KeyOwnerNotReady, failure.NotRun, func(_ *sim, p *proc, _ *rpc.ClaimRequest) { p.gate.activated = false }},
+		{failure.KeyOwnerNotReady, failure.NotRun, func(_ *sim, p *proc, _ *rpc.ClaimRequest) { p.gate.roster = nil }},
+		{failure.KeyAuthorityLapsed, failure.NotRun, func(s *sim, _ *proc, _ *rpc.ClaimRequest) { s.now += 2 * simG }},
+		{failure.KeyReused, failure.NotRun, func(_ *sim, p *proc, c *rpc.ClaimRequest) {
+			_, _ = p.Claim(context.Background(), claimFor(p, c.Key, 9)) // the record is what counts
+			c.Fingerprint = []byte("g")
+		}},
+		{failure.KeyStoreFull, failure.NotRun, func(_ *sim, p *proc, _ *rpc.ClaimRequest) { p.records.maxRecords = 0 }},
+		{failure.KeyStoreFull, failure.NotRun, func(_ *sim, p *proc, _ *rpc.ClaimRequest) { p.records.maxBytes = 10 }},
+		{failure.Fenced, failure.NotRun, func(_ *sim, p *proc, c *rpc.ClaimRequest) {
+			p.records.merge(p.node.Now(), &rpc.KeyRecord{Key: c.Key, Fingerprint: c.Fingerprint, Replaced: [][]byte{c.Attempt}})
+		}},
+		{failure.KeyHistoryLost, failure.Unknown, func(_ *sim, p *proc, _ *rpc.ClaimRequest) { loseAll(p) }},
+		// A record from before the loss does not show that no later attempt ran.
+		{failure.KeyHistoryLost, failure.Unknown, func(_ *sim, p *proc, c *rpc.ClaimRequest) {
+			earlier := claimFor(p, c.Key, 9)
+			_, _ = p.Claim(context.Background(), earlier) // the record is what counts
+			c.Replaces = earlier.Attempt
+			loseAll(p)
+		}},
+	}
+	for i, test := range cases {
+		t.Run(fmt.Sprint(i, test.reason), func(t *testing.T) {
+			s, p, key := settledSim(t, 3)
+			request := claimFor(p, key, 1)
+			test.prepare(s, p, request)
+			response, err := p.Claim(context.Background(), request)
+			assert.NilError(t, err)
+			assert.Equal(t, response.Reason, string(test.reason))
+			assert.Equal(t, response.Outcome, string(test.outcome))
+			assert.Equal(t, response.Granted, test.reason == "")
+		})
+	}
+}
+
+func loseAll(p *proc) {
+	p.gate.roster = p.gate.roster.clone()
+	p.gate.roster.Lost = []LostMember{{ID: "alone@1", Joined: 1, Lost: 2, Alone: true}}
+}
+
+// TestCheckRefusals guards against a runner that runs an attempt of another roster version, of another owner, or
+// without authority.
+func TestCheckRefusals(t *testing.T) {
+	s, p, key := settledSim(t, 3)
+	runner := s.byName(p.gate.roster.Runners(key)[0].PeerAddr).proc
+	version := p.gate.roster.Version
+	check := func(service, key, owner string, version uint64) failure.Reason {
+		notAfter, err := runner.Check(service, key, owner, version)
+		if err == nil {
+			assert.Assert(t, notAfter.After(runner.node.Now()) && !notAfter.After(runner.node.Now().Add(simG)))
+			return ""
+		}
+		assert.Equal(t, err.Outcome, failure.NotRun)
+		return err.Reason
+	}
+	assert.Equal(t, check("orders", key, p.id, version), failure.Reason(""))
+	assert.Equal(t, check("other", key, p.id, version), failure.WrongService)
+	assert.Equal(t, check("orders", key, p.id, version+1), failure.KeyRosterMismatch)
+	assert.Equal(t, check("orders", key, runner.id, version), failure.KeyRosterMismatch)
+	s.now += 2 * simG
+	assert.Equal(t, check("orders", key, p.id, version), failure.KeyAuthorityLapsed)
+}
+
+// TestPromiseEndsWithOwnConfirmation guards against a promise of a member that the roster may have removed after Gmax:
+// with it, a member removed earlier by the majority's path could still act.
+func TestPromiseEndsWithOwnConfirmation(t *testing.T) {
+	s, p, _ := settledSim(t, 3)
+	request := &rpc.PromiseRequest{Service: "orders", Requester: s.nodes[1].proc.id, RosterVersion: p.gate.roster.Version}
+	promised := func() bool {
+		response, err := p.Promise(context.Background(), request)
+		assert.NilError(t, err)
+		return response.Promised
+	}
+	assert.Assert(t, promised())
+	s.now += 2 * simGmax
+	assert.Assert(t, !promised())
+}
+
+// TestGmaxWaitOutlastsPromises guards against removing members after Gmax while a promise that they gave at the end of
+// that time is still in force.
+func TestGmaxWaitOutlastsPromises(t *testing.T) {
+	s, p, _ := settledSim(t, 3)
+	m := p.machine
+	m.known = m.known.withSuspects([]string{s.nodes[1].proc.id, s.nodes[2].proc.id})
+	now := p.node.Now()
+	m.noteMarks(now)
+	assert.Assert(t, m.buildLost(now.Add(rateMargin(simGmax+simG))) == nil)
+	assert.Assert(t, m.buildLost(now.Add(rateMargin(simGmax+simG)+time.Millisecond)) != nil)
+}
+
+// TestMergeIsUnion guards against a record that hides another attempt of its key: whatever the order and number of
+// merges, each attempt that is not proven unrun must keep a new one from being granted.
+func TestMergeIsUnion(t *testing.T) {
+	fixRapid(t, "20260303", "300", "30")
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.SliceOfN(rapid.ByteRange(1, 6), 1, 1)
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *rpc.KeyRecord {
+			return &rpc.KeyRecord{Key: "k", Fingerprint: []byte("f"), Attempt: id.Draw(t, "attempt"), Runner: "r", RosterVersion: rapid.Uint64Range(1, 3).Draw(t, "version"),
+				State: rpc.AttemptState(rapid.IntRange(0, 3).Draw(t, "state")), Replaced: rapid.SliceOfN(id, 0, 2).Draw(t, "replaced")}
+		}), 1, 6).Draw(t, "records")
+		s := newStore(simBase, 10, 1<<20)
+		for _, rec := range append(rapid.Permutation(records).Draw(t, "order"), records[0]) {
+			s.merge(simBase, rec)
+		}
+		unrun, open := map[attemptID]bool{}, map[attemptID]bool{}
+		for _, rec := range records {
+			open[attemptFrom(rec.Attempt)] = true
+			unrun[attemptFrom(rec.Attempt)] = unrun[attemptFrom(rec.Attempt)] || rec.State == rpc.AttemptState_ATTEMPT_NOT_RUN
+			for _, replaced := range rec.Replaced {
+				unrun[attemptFrom(replaced)] = true
+			}
+		}
+		c := claim{key: "k", fingerprint: "f", attempt: attemptID{9}, runner: "r", keep: time.Hour, present: func(string) bool { return true }}
+		for {
+			holder, err := s.claim(simBase, c)
+			assert.Assert(t, err == nil)
+			if holder == nil {
+				break
+			}
+			assert.Assert(t, open[holder.attempt] && !unrun[holder.attempt])
+			unrun[holder.attempt] = true
+			c.replaces = holder.attempt
+		}
+		for attempt := range open {
+			assert.Assert(t, unrun[attempt], "attempt %x was forgotten", attempt)
+		}
+	})
+}
+
+// TestHandover guards against a second run after a runner left and the owner then crashed, and against losing the
+// answers of a runner that left.
+func TestHandover(t *testing.T) {
+	s := newSim(4, 5, 0, 1)
+	s.epoch = time.Hour
+	s.advance(40 * time.Second)
+	for i := range 60 {
+		s.request(s.entries[0], fmt.Sprint("kept-", i), func(string) {})
+	}
+	s.advance(5 * time.Second)
+	runner, owner, both := s.nodes[1].proc, s.nodes[2].proc, 0
+	for _, attempt := range runner.KeyedAttempts() {
+		if attempt.Owner == owner.id {
+			both++
+		}
+	}
+	assert.Assert(t, both > 0, "no key was run by the leaving member for the one that crashes")
+	s.leave(runner.node)
+	s.advance(15 * time.Second)
+	assert.Assert(t, runner.machine.out())
+	s.crash(owner.node)
+	s.advance(40 * time.Second)
+	answers := 0
+	for i := range 60 {
+		s.request(s.entries[0], fmt.Sprint("kept-", i), func(outcome string) {
+			if outcome == "runner-left:ATTEMPT_DONE" {
+				answers++
+			}
+		})
+	}
+	s.advance(10 * time.Second)
+	assert.Equal(t, s.violation, "")
+	assert.Assert(t, answers >= both, "%d answers for %d keys of the member that left", answers, both)
+}
