--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -59,7 +59,7 @@
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	node, err := daemon.New(loaded)
+	node, err := daemon.New(loaded, daemon.Options{})
 	if err != nil {
 		klog.Errorf("start: %v", err)
 		return exitFailed
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +38,7 @@
 // Daemon is one node.
 type Daemon struct {
 	settings  *settings.Settings
+	options   Options
 	self      cluster.Member
 	view      *cluster.View
 	metrics   *telemetry.Registry
@@ -51,16 +53,23 @@
 	listeners *listeners
 }
 
+// Options changes what a node is built from; the zero value is for use in production.
+type Options struct {
+	// Dial opens connections to other nodes and to the platform; nil uses net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
 // New builds a node and opens its listeners.
-func New(set *settings.Settings) (*Daemon, error) {
-	d := &Daemon{settings: set, self: newSelf(set), metrics: telemetry.New()}
+func New(set *settings.Settings, options Options) (*Daemon, error) {
+	d := &Daemon{settings: set, options: options, self: newSelf(set), metrics: telemetry.New()}
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
 	d.metering = &metering{bytes: budget.NewBytes(defaultLimits, nil), view: d.view}
-	d.peers = newPeerClients(d.metering)
+	d.peers = newPeerClients(d.metering, options.Dial)
 	client := platform.NewClient(platform.Config{
 		Addr:             set.PlatformAddr,
 		TryTimeout:       set.PlatformTryTimeout,
 		OperationTimeout: set.PlatformOperationTimeout,
+		Dial:             options.Dial,
 		Metrics:          d.metrics,
 	})
 	for _, build := range []func(*platform.Client) error{d.newTargetSide, d.newControl, d.newEntry} {
@@ -165,7 +174,7 @@
 }
 
 func (d *Daemon) newEntry(client *platform.Client) error {
-	d.transport = forward.New(forward.Config{Metrics: d.metrics})
+	d.transport = forward.New(forward.Config{Dial: d.options.Dial, Metrics: d.metrics})
 	d.policies = entry.NewPolicies(entry.PoliciesConfig{
 		Self:      d.self,
 		Probe:     d.peers.probe,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -17,16 +17,20 @@
 	peerIdleConns   = 2 // per node
 )
 
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // peerClients makes twirp clients for other nodes.
 type peerClients struct {
 	kept  *http.Client // keeps connections
 	fresh *http.Client // opens a connection for each call
 }
 
-func newPeerClients(metering *metering) *peerClients {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
+func newPeerClients(metering *metering, dial dialFunc) *peerClients {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: peerDialTimeout}).DialContext
+	}
 	metering.next = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
@@ -34,7 +38,7 @@
 	return &peerClients{
 		kept: &http.Client{Transport: metering},
 		fresh: &http.Client{Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		}},
--- a/internal/e2e/failures_test.go
+++ b/internal/e2e/failures_test.go
@@ -58,7 +58,7 @@
 	assert.NilError(t, cluster.Nodes[3].Daemon.Signal(syscall.SIGCONT))
 	assert.NilError(t, cluster.Nodes[2].StartDaemon())
 	time.Sleep(2 * time.Second)
-	total := verify(t, cluster, traffic.stop())
+	total := verify(t, runs(t, cluster), traffic.stop())
 	assert.Assert(t, total.answered > total.orders/2, "most orders should be answered by the nodes that live")
 }
 
@@ -77,7 +77,7 @@
 		untilServed(t, node.EntryAddr, "storefront")
 	}
 	orders := traffic.stop()
-	total := verify(t, cluster, orders)
+	total := verify(t, runs(t, cluster), orders)
 	for _, one := range orders {
 		assert.Check(t, one.answered, "order %s was cut: %s", one.id, one.last)
 	}
@@ -101,7 +101,7 @@
 	assert.NilError(t, cluster.Nodes[3].StartDaemon())
 	assert.NilError(t, testcluster.WaitFor(readyLimit, "the restarted node", cluster.Nodes[3].Ready))
 	untilServed(t, cluster.Nodes[3].EntryAddr, "storefront")
-	verify(t, cluster, traffic.stop())
+	verify(t, runs(t, cluster), traffic.stop())
 	assert.Equal(t, cluster.Nodes[0].Status().Control.ListVersion, uint64(2))
 	assert.Equal(t, cluster.Nodes[3].Status().Control.ListVersion, uint64(2))
 }
@@ -123,7 +123,7 @@
 	assert.NilError(t, cluster.Nodes[2].Daemon.Terminate(drainLimit), cluster.Nodes[2].Daemon.Output())
 	assert.NilError(t, cluster.Nodes[4].StartDaemon())
 	time.Sleep(10 * time.Second)
-	total := verify(t, cluster, traffic.stop())
+	total := verify(t, runs(t, cluster), traffic.stop())
 	assert.Assert(t, total.answered > 0)
 }
 
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -62,6 +62,19 @@
 	return l.orders
 }
 
+// answered counts the answered orders so far.
+func (l *load) answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, one := range l.orders {
+		if one.answered {
+			count++
+		}
+	}
+	return count
+}
+
 func (l *load) work(worker int) {
 	random := rand.New(rand.NewPCG(uint64(worker), 7))
 	for n := 0; ; n++ {
@@ -160,9 +173,8 @@
 
 // verify checks every order against the run logs: at most one run, none when the caller was told not-run, one when it
 // was answered.
-func verify(t *testing.T, cluster *testcluster.Cluster, orders []*order) summary {
+func verify(t *testing.T, counts map[string]int, orders []*order) summary {
 	t.Helper()
-	counts := runs(t, cluster)
 	var total summary
 	for _, one := range orders {
 		total.orders++
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -58,6 +59,8 @@
 	MaxResponseBytes int64
 	// Connections is the greatest number of connections to the platform; default 8.
 	Connections int
+	// Dial opens a connection; default net.Dialer with MaxTryTimeout.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Metrics receives the counters "platform.try.<operation>", "platform.retry.<reason>",
 	// "platform.unavailable.<operation>", "platform.bytes.sent" and "platform.bytes.received" (bodies of all tries);
 	// default a registry of its own.
@@ -74,6 +77,9 @@
 	setDefault(&c.BackoffMax, DefaultBackoffMax)
 	setDefault(&c.MaxResponseBytes, DefaultMaxResponseBytes)
 	setDefault(&c.Connections, DefaultConnections)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: c.MaxTryTimeout}).DialContext
+	}
 	if c.Metrics == nil {
 		c.Metrics = telemetry.New()
 	}
--- a/internal/platform/try.go
+++ b/internal/platform/try.go
@@ -204,9 +204,8 @@
 }
 
 func (c *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.config.MaxTryTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         c.config.Dial,
 		MaxConnsPerHost:     c.config.Connections,
 		MaxIdleConnsPerHost: c.config.Connections,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -235,10 +235,13 @@
 }
 
 // Status asks the node's admin address; a node that doesn't answer gives the zero status.
-func (n *Node) Status() Status {
+func (n *Node) Status() Status { return StatusAt(n.AdminAddr) }
+
+// StatusAt asks the node with that admin address.
+func StatusAt(adminAddr string) Status {
 	var status Status
 	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + n.AdminAddr + "/status")
+	response, err := client.Get("http://" + adminAddr + "/status")
 	if err != nil {
 		return status
 	}
