Let nodes outside the home region leave without a handover

Cause: a node that never reads the roster row waited for it on leaving, for the whole 15 s, and had no time left to tell its leader (seen in TestRegionSplit). Now it is out at once, and the departure has a time limit of its own.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,8 +32,12 @@
 // announcement are still refused in that time instead of finding a closed connection.
 const lameDuck = 3 * time.Second
 
-// leaveTimeout bounds the handover of keys and the departure from the membership.
-const leaveTimeout = 15 * time.Second
+// Bounds of the handover of keys and of the departure from the membership. Each has its own, so that a handover without
+// an answer doesn't keep the node from leaving the membership.
+const (
+	handoverTimeout = 15 * time.Second
+	leaveTimeout    = 5 * time.Second
+)
 
 // Daemon is one node.
 type Daemon struct {
@@ -256,12 +260,10 @@
 	defer cancel()
 	go d.control.SetDraining()
 	drained := d.inbound.Drain(ctx)
-	leaving, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancelLeave()
-	if err := d.keys.Leave(leaving); err != nil {
+	if err := within(handoverTimeout, d.keys.Leave); err != nil {
 		klog.Warningf("node %s left without handing over all keys: %v", d.self.ID, err)
 	}
-	if err := d.control.Leave(leaving); err != nil {
+	if err := within(leaveTimeout, d.control.Leave); err != nil {
 		klog.Warningf("node %s left without telling a leader: %v", d.self.ID, err)
 	}
 	time.Sleep(lameDuck - time.Since(started))
@@ -271,6 +273,13 @@
 	return eris.Wrap(drained, "requests were still in flight at the drain timeout")
 }
 
+// within runs work with a time limit.
+func within(limit time.Duration, work func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return work(ctx)
+}
+
 func (d *Daemon) close() {
 	d.listeners.close()
 	d.policies.Close()
--- a/internal/keys/machine.go
+++ b/internal/keys/machine.go
@@ -29,11 +29,13 @@
 	busy      map[callKey]bool
 	next      map[callKey]time.Time // earliest time of the next call
 	wantLeave bool
-	closing   bool // the removal of this member was sent
-	pending   []call
-	peerCalls int
-	installAt time.Time
-	conflicts int
+	// wasInvolved is set once this node was a member or may have asked to become one.
+	wasInvolved bool
+	closing     bool // the removal of this member was sent
+	pending     []call
+	peerCalls   int
+	installAt   time.Time
+	conflicts   int
 }
 
 // rowSeen is what the last successful read or commit of the row showed.
@@ -96,6 +98,7 @@
 	if !m.involved() {
 		return nil
 	}
+	m.wasInvolved = true
 	m.planRead(now)
 	m.planPromises(now)
 	m.planCollects(now)
@@ -139,6 +142,9 @@
 
 // out reports whether the table showed that this node is no member, with no commit of its own in flight.
 func (m *machine) out() bool {
+	if !m.wasInvolved {
+		return true // a node outside the home region never reads the row
+	}
 	if !m.row.read || m.wantRow || m.busy[callKey{kind: callCommit}] {
 		return false
 	}
