Add bench/control and shorten repeated heartbeats

A heartbeat names the member lists held and the services needed by a digest when the leader already has them; the leader asks for the lists when it does not.

--- /dev/null
+++ b/bench/control/main.go
@@ -0,0 +1,74 @@
+// Command control measures what control costs: many control nodes in one process over loopback HTTP with twirp, against
+// an in-memory table, without the other roles.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"k8s.io/klog/v2"
+)
+
+type arguments struct {
+	Members string `arg:"--members" default:"10,30,100,300" help:"numbers of members, separated by commas"`
+	Zones   int    `arg:"--zones" default:"4" help:"availability zones"`
+	Wide    int    `arg:"--wide" default:"12" help:"zones of an additional run with the most members; 0: none"`
+	Threads int    `arg:"--threads" default:"2" help:"GOMAXPROCS"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	klog.LogToStderr(false)
+	runtime.GOMAXPROCS(args.Threads)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	sizes, err := parseSizes(args.Members)
+	if err != nil {
+		return err
+	}
+	fmt.Println(heading)
+	var results []figures
+	for _, members := range sizes {
+		if results, err = measured(results, members, args.Zones); err != nil {
+			return err
+		}
+	}
+	if args.Wide > 0 {
+		if results, err = measured(results, sizes[len(sizes)-1], args.Wide); err != nil {
+			return err
+		}
+	}
+	printFit(results)
+	return nil
+}
+
+func measured(results []figures, members, zones int) ([]figures, error) {
+	f, err := measure(members, zones)
+	if err != nil {
+		return results, err
+	}
+	fmt.Println(f.row())
+	return append(results, f), nil
+}
+
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for field := range strings.SplitSeq(text, ",") {
+		size, err := strconv.Atoi(field)
+		if err != nil || size < 3 {
+			return nil, fmt.Errorf("members %q is not a number of at least 3", field)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes, nil
+}
--- a/internal/control/answer.go
+++ b/internal/control/answer.go
@@ -22,6 +22,9 @@
 	if s.leader.confirmed && fresh && s.leader.addr != request.GetSelf().GetPeerAddr() {
 		return &rpc.HeartbeatResponse{LeaderAddr: s.leader.addr}
 	}
+	if len(request.GetServices()) == 0 {
+		return &rpc.HeartbeatResponse{Resend: true}
+	}
 	return s.answerActing(request)
 }
 
@@ -41,6 +44,10 @@
 
 func (s *state) answerAsLeader(request *rpc.HeartbeatRequest) *rpc.HeartbeatResponse {
 	s.record(request, true)
+	request, ok := s.lease.completed(request)
+	if !ok {
+		return &rpc.HeartbeatResponse{Resend: true}
+	}
 	answer := s.answerSoft(request)
 	answer.Leader = true
 	answer.Epoch = s.lease.lease.Epoch
@@ -61,6 +68,27 @@
 	return answer
 }
 
+// completed returns a shortened request with what the node sent before by the same digest.
+func (t *tenure) completed(request *rpc.HeartbeatRequest) (*rpc.HeartbeatRequest, bool) {
+	r := t.records[request.GetSelf().GetId()]
+	if len(request.GetServices()) > 0 {
+		if r != nil {
+			r.full = request
+		}
+		return request, true
+	}
+	if r == nil || r.full == nil || r.full.GetDigest() != request.GetDigest() {
+		return nil, false
+	}
+	return &rpc.HeartbeatRequest{
+		Self:        request.GetSelf(),
+		ListVersion: request.GetListVersion(),
+		SoftVersion: request.GetSoftVersion(),
+		Known:       r.full.GetKnown(),
+		Services:    r.full.GetServices(),
+	}, true
+}
+
 // answerSoft is the part of an answer that needs no lease.
 func (s *state) answerSoft(request *rpc.HeartbeatRequest) *rpc.HeartbeatResponse {
 	answer := &rpc.HeartbeatResponse{SoftVersion: s.soft.version, ListVersion: s.list.version()}
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/rpc"
 )
@@ -32,9 +35,16 @@
 	again     bool      // a heartbeat became due while another was in flight
 	candidate int       // position in the search
 	deputies  []cluster.Member
+	told      told      // what the leader has of this node
 	roster    time.Time // local time after which the roster's row version is confirmed
 }
 
+// told names a leader and the digest that it last received.
+type told struct {
+	addr   string
+	digest uint64
+}
+
 // hasLeader reports whether a lease holder receives this node's heartbeats, or is this node.
 func (s *state) hasLeader() bool {
 	return s.lease != nil || (s.leader.confirmed && !s.leader.acting)
@@ -57,8 +67,12 @@
 	request := s.heartbeat()
 	client := s.client(addr)
 	sent := time.Now()
+	wire := request
+	if s.leader.told == (told{addr, request.GetDigest()}) {
+		wire = shortened(request)
+	}
 	background(s, s.cfg.CallTimeout, func(ctx context.Context) (*rpc.HeartbeatResponse, error) {
-		return client.Heartbeat(ctx, request)
+		return client.Heartbeat(ctx, wire)
 	}, func(answer *rpc.HeartbeatResponse, err error) {
 		s.finishHeartbeat()
 		if s.lease != nil {
@@ -72,6 +86,30 @@
 	})
 }
 
+// shortened leaves out what the leader has by its digest.
+func shortened(request *rpc.HeartbeatRequest) *rpc.HeartbeatRequest {
+	return &rpc.HeartbeatRequest{
+		Self:        request.GetSelf(),
+		ListVersion: request.GetListVersion(),
+		Refusals:    request.GetRefusals(),
+		SoftVersion: request.GetSoftVersion(),
+		Digest:      request.GetDigest(),
+	}
+}
+
+// digest identifies what a node holds and needs.
+func digest(known []*rpc.ZoneVersion, services []string) uint64 {
+	var text []byte
+	for _, z := range known {
+		text = append(text, z.GetZone()...)
+		text = binary.BigEndian.AppendUint64(append(text, 0), z.GetVersion())
+	}
+	for _, name := range services {
+		text = append(append(text, 0), name...)
+	}
+	return xxhash.Sum64(text)
+}
+
 // finishHeartbeat sends the next heartbeat at once when one became due meanwhile.
 func (s *state) finishHeartbeat() {
 	s.finish("heartbeat")
@@ -93,6 +131,7 @@
 	for _, zone := range sortedKeys(s.zones) {
 		request.Known = append(request.Known, &rpc.ZoneVersion{Zone: zone, Version: s.zones[zone].version})
 	}
+	request.Digest = digest(request.GetKnown(), request.GetServices())
 	return request
 }
 
@@ -175,9 +214,15 @@
 func (s *state) heartbeatAnswered(
 	addr string, sent time.Time, request *rpc.HeartbeatRequest, answer *rpc.HeartbeatResponse,
 ) {
+	if answer.GetResend() {
+		s.leader.told = told{}
+		s.sooner(taskHeartbeat)
+		return
+	}
 	switch {
 	case answer.GetLeader() && answer.GetEpoch() >= s.leader.epoch:
 		s.followLeader(addr, answer)
+		s.leader.told = told{addr, request.GetDigest()}
 	case answer.GetActing() && !answer.GetLeader():
 		s.followActing(addr)
 	default:
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -28,6 +28,7 @@
 	leaving  bool
 	list     uint64
 	refusals uint64
+	full     *rpc.HeartbeatRequest // last heartbeat that was not shortened
 }
 
 // record takes a heartbeat, or an announcement passed on by another node.
