--- a/internal/quarantine/main_test.go
+++ b/internal/quarantine/main_test.go
@@ -7,8 +7,7 @@
 	"go.uber.org/goleak"
 )
 
-// TestMain fixes the seed of property tests, which -rapid.seed on the command line changes, and fails on goroutines that
-// are left over.
+// TestMain fixes the seed of property tests; -rapid.seed on the command line changes it.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
