--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -258,7 +258,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	latency := g.times.at(g.inFlight + 1)
-	if g.inFlight >= g.limits.Slots || len(g.queue) > 0 {
+	if g.inFlight >= g.limits.Slots || len(g.queue) > 0 || g.alone {
 		latency = g.expected(len(g.queue))
 	}
 	return wire.LoadSample{InFlight: g.inFlight, Queued: len(g.queue), Latency: latency, Draining: g.draining}
--- a/internal/inbound/crash_test.go
+++ b/internal/inbound/crash_test.go
@@ -195,7 +195,7 @@
 }
 
 // Guards against a target that hangs and whose requests are never suspected: it accepts two connections, for the request
-// and the sentinel, and no further connect.
+// and the sentinel, and no further connect. Guards also against a call that outlives its deadline in the upload.
 func TestHangingTargetIsTakenForDead(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -205,7 +205,10 @@
 	assert.NilError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 1) }))
 	assert.NilError(t, err)
 	one := startNode(t, listener.Addr().String(), nil)
-	late := one.send(context.Background(), call{method: "POST", path: "/", timeout: 100 * time.Millisecond})
+	stalled, writer := io.Pipe()
+	defer writer.Close()
+	late := one.send(context.Background(),
+		call{method: "POST", path: "/", body: stalled, timeout: 100 * time.Millisecond})
 	assert.Equal(t, late.reason(), failure.DeadlineExceeded)
 	assert.Equal(t, late.outcome(), failure.Unknown)
 	assert.Equal(t, one.config.Metrics.Values()["quarantine.crashes"], int64(1))
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -146,7 +146,11 @@
 func (e *exchange) forward(ctx context.Context) *failure.Error {
 	e.watch = e.handler.guard.Begin(e.pass, e.digest)
 	request := e.targetRequest(httptrace.WithClientTrace(ctx, e.trace()))
-	answer, err := e.handler.target.Load().transport.RoundTrip(request)
+	transport := e.handler.target.Load().transport
+	if e.pass.Alone() {
+		transport.CloseIdleConnections() // the end of an old connection would count as a crash
+	}
+	answer, err := transport.RoundTrip(request)
 	if err != nil {
 		return e.failedBeforeAnswer(ctx, err)
 	}
