Add hedges, late calls and a lag check to the bench

Answered calls alone hide that a policy refuses more, so the table now has the share of calls that failed or took more than four service times.

--- a/bench/load/fleet.go
+++ b/bench/load/fleet.go
@@ -97,16 +97,18 @@
 	place     place
 	balancers map[string]balance.Balancer
 	retries   map[string]*budget.Ratio
+	hedges    map[string]*hedger
 	bytes     *budget.Bytes
 	client    *http.Client
 	transport *http.Transport
 }
 
-func newEntry(at place, services []*service, paid *link) *entry {
+func newEntry(at place, services []*service, paid *link, options *options) *entry {
 	e := &entry{
 		place:     at,
 		balancers: map[string]balance.Balancer{},
 		retries:   map[string]*budget.Ratio{},
+		hedges:    map[string]*hedger{},
 		bytes:     budget.NewBytes(nodeLimits, nil),
 	}
 	e.transport = &http.Transport{MaxIdleConnsPerHost: 260, DisableCompression: true}
@@ -116,6 +118,7 @@
 	e.client = &http.Client{Transport: e.transport, Timeout: callTimeout}
 	for _, s := range services {
 		e.retries[s.name] = budget.NewRatio(10, nil)
+		e.hedges[s.name] = &hedger{budget: budget.NewRatio(options.Hedge, nil), after: 2 * options.Service}
 	}
 	return e
 }
--- a/bench/load/main.go
+++ b/bench/load/main.go
@@ -28,6 +28,7 @@
 	Regions  int           `arg:"--regions" default:"2" help:"1 or 2"`
 	Service  time.Duration `arg:"--service" default:"25ms" help:"mean service time"`
 	Queue    int           `arg:"--queue" default:"9" help:"requests that wait at a target before it refuses"`
+	Hedge    int           `arg:"--hedge" default:"0" help:"hedges per 100 calls at most; sent after the 95% quantile"`
 	Seed     uint64        `arg:"--seed" default:"1"`
 	Cores    int           `arg:"--cores" default:"5" help:"cores used at most"`
 	Out      string        `arg:"--out" default:"bench/results"`
@@ -59,7 +60,7 @@
 		random := rand.New(rand.NewPCG(options.Seed, uint64(round)))
 		random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 		for _, policy := range order {
-			measured, err := runSlice(options, policy, round)
+			measured, err := runSettled(options, policy, round)
 			if err != nil {
 				return err
 			}
--- a/internal/budget/ratio.go
+++ b/internal/budget/ratio.go
@@ -49,11 +49,17 @@
 	}
 }
 
-// First counts a first attempt, which earns percent/100 of a token.
+// First counts a first attempt, which earns percent/100 of a token. The floor pays only what attempts don't earn, so a
+// busy service stays within its share.
 func (r *Ratio) First() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tokens = math.Min(ratioBurst, r.tokens+r.percent/100)
+	earned := r.percent / 100
+	r.tokens = math.Min(ratioBurst, r.tokens+earned)
+	r.floorAt = r.floorAt.Add(time.Duration(earned / floorPerSecond * float64(time.Second)))
+	if now := r.clock(); r.floorAt.After(now) {
+		r.floorAt = now
+	}
 }
 
 // Spend takes one token for an extra send. It reports false when the send is not allowed.
