Cross the link for a shorter wait only

The risk of a refusal made half-full targets in the region look worse than a target 60 ms away.

Attempts cancelled when overdue now leave their age as an estimate; its effect is not measured yet.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,7 +73,7 @@
 	OK        Class = iota // the target answered
 	Refused                // the target's node refused; Result.Reason says why
 	Failed                 // no connection, a broken or silent connection, or a failed target
-	Cancelled              // the caller went away or another attempt won; says nothing about the target
+	Cancelled              // the caller went away or another attempt won; not held against the target's health
 )
 
 // Result reports one attempt.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -45,7 +45,7 @@
 			best = other
 		}
 	}
-	return best, p.cost(best, now)
+	return best, p.answerTime(best, now)
 }
 
 // ready drops the members whose slow start allows no pick now. It reuses the slice.
@@ -63,19 +63,24 @@
 // nearest returns the member with the lowest cost. The network's share of the cost prefers the own zone, then the
 // region. The other region is used only when the wait saved exceeds its delay and the link has room.
 func (p *Pool) nearest(candidates []*peer, now time.Time) (*peer, float64) {
-	near, nearCost := p.cheapest(candidates, now, false)
-	far, farCost := p.cheapest(candidates, now, true)
+	near := p.cheapest(candidates, now, false)
+	far := p.cheapest(candidates, now, true)
 	switch {
 	case near == nil:
-		return far, farCost
-	case far == nil || farCost >= nearCost || !p.config.LinkRoom():
-		return near, nearCost
+		return far, p.answerTime(far, now)
+	case far == nil || !p.config.LinkRoom():
+		return near, p.answerTime(near, now)
 	}
-	return far, farCost
+	// The risk of a refusal does not count here: a refusal in the region costs far less than the link's delay.
+	nearTime, farTime := p.answerTime(near, now), p.answerTime(far, now)
+	if farTime < nearTime {
+		return far, farTime
+	}
+	return near, nearTime
 }
 
 // cheapest compares the members on one side of the link, starting at a random one so that equals are chosen equally.
-func (p *Pool) cheapest(candidates []*peer, now time.Time, acrossLink bool) (*peer, float64) {
+func (p *Pool) cheapest(candidates []*peer, now time.Time, acrossLink bool) *peer {
 	var best *peer
 	least := 0.0
 	offset := p.random.IntN(len(candidates))
@@ -88,5 +93,5 @@
 			best, least = candidate, cost
 		}
 	}
-	return best, least
+	return best
 }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -71,14 +71,19 @@
 	return s.latency.Seconds() / max(1, float64(s.load+1)/float64(p.config.Slots))
 }
 
-// cost is the expected time in seconds from the send to the answer.
+// cost is the expected time in seconds to the answer, with the risk of a refusal.
 func (p *Pool) cost(of *peer, now time.Time) float64 {
+	full := float64(p.config.Slots + p.config.Queue)
+	refusal := sigmoid((p.expectedLoad(of, now) + 1 - full) / loadError)
+	return p.answerTime(of, now) + refusalCost*p.fleet.service*refusal
+}
+
+// answerTime is the expected time in seconds from the send to the answer when the target accepts the request.
+func (p *Pool) answerTime(of *peer, now time.Time) float64 {
 	slots := float64(p.config.Slots)
 	queued := p.expectedLoad(of, now) + 1 - slots
 	wait := loadError * softplus(queued/loadError) / slots
-	refusal := sigmoid((queued - float64(p.config.Queue)) / loadError)
-	return p.config.roundTrip(of.distance).Seconds() + p.expectedService(of, now)*(1+wait) +
-		refusalCost*p.fleet.service*refusal
+	return p.config.roundTrip(of.distance).Seconds() + p.expectedService(of, now)*(1+wait)
 }
 
 // softplus is max(0, x) with the corner smoothed.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -121,8 +121,11 @@
 		}
 		ended = true
 		attempt := chosen.ended(sent)
-		if result.Class == OK {
+		switch result.Class {
+		case OK:
 			p.learnOverdue(attempt, now)
+		case Cancelled:
+			p.gaveUp(chosen, attempt, now)
 		}
 		p.record(chosen, result, now)
 		p.limitEjections(now)
