--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -88,19 +88,20 @@
 		queues, perfect := find(summaries, "queues", s.size), find(summaries, "perfect", s.size)
 		random := find(summaries, "random", s.size)
 		calls := s.sum(func(m *measured) int64 { return m.calls.Load() })
+		all := s.sum(func(m *measured) int64 { return m.all.Load() })
 		per := func(figure func(*measured) int64, unit float64) float64 { return s.sum(figure) / calls * unit }
 		fmt.Fprintf(w, "| %d | %s | %.0f | %.2f | %.2f | %.2f | %.2f | %.2f | %.1f | %.1f | %.1f | %s | %s | %s | %s | %s | %.0f | %.0f |\n",
 			s.size, s.policy, calls,
 			per(func(m *measured) int64 { return m.failed.Load() }, 100),
 			per(func(m *measured) int64 { return m.late.Load() }, 100),
-			per(func(m *measured) int64 { return m.retries.Load() }, 100),
-			per(func(m *measured) int64 { return m.hedges.Load() }, 100),
+			per(func(m *measured) int64 { return m.retries.Load() }, 100*calls/all),
+			per(func(m *measured) int64 { return m.hedges.Load() }, 100*calls/all),
 			per(func(m *measured) int64 { return m.far.Load() }, 100),
 			ms(s.all, 50), ms(s.all, 99), ms(s.all, 99.9),
 			ratio(s, queues, 99), ratio(s, queues, 99.9),
 			ratio(s, perfect, 99), ratio(s, perfect, 99.9), ratio(s, random, 99),
-			per(func(m *measured) int64 { return m.probeBytes }, 1000),
-			per(func(m *measured) int64 { return m.sampleBytes }, 1000))
+			per(func(m *measured) int64 { return m.probeBytes }, 1000*calls/all),
+			per(func(m *measured) int64 { return m.sampleBytes }, 1000*calls/all))
 	}
 }
 
--- a/bench/load/slice.go
+++ b/bench/load/slice.go
@@ -28,8 +28,10 @@
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram // of answered calls, in microseconds from the planned start
 
-	calls, failed, late, retries, hedges, far atomic.Int64
-	probeBytes, sampleBytes                   int64
+	// all, retries and hedges include the warm-up; the others don't.
+	all, retries, hedges     atomic.Int64
+	calls, failed, late, far atomic.Int64
+	probeBytes, sampleBytes  int64
 }
 
 func newMeasured(policy string, size int) *measured {
@@ -209,6 +211,7 @@
 	for _, next := range plan(s.seed, of.size, s.entries, s.options) {
 		time.Sleep(time.Until(began.Add(next.at)))
 		running.Add(1)
+		result.all.Add(1)
 		go func() {
 			defer running.Done()
 			ok, far := s.entries[next.entry].run(of, result, next.work)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -71,9 +71,10 @@
 	case far == nil || !p.config.LinkRoom():
 		return near, p.answerTime(near, now)
 	}
-	// The risk of a refusal does not count here: a refusal in the region costs far less than the link's delay.
+	// Neither the risk of a refusal nor an overdue attempt counts here: a refusal in the region costs far less than the
+	// link's delay, and single slow calls sent 30% more calls across the link without fewer late answers.
 	nearTime, farTime := p.answerTime(near, now), p.answerTime(far, now)
-	if farTime < nearTime {
+	if farTime < nearTime/p.overdue(near, now) {
 		return far, farTime
 	}
 	return near, nearTime
--- a/internal/balance/overdue.go
+++ b/internal/balance/overdue.go
@@ -35,17 +35,6 @@
 	return 1 + ratio - p.overdueAt
 }
 
-// gaveUp keeps what a cancelled attempt showed: when it was overdue, the target needs at least that long.
-func (p *Pool) gaveUp(of *peer, on attempt, now time.Time) {
-	waited := now.Sub(on.sentAt)
-	if waited.Seconds() < p.overdueAt*on.expect || waited < of.sample.latency {
-		return
-	}
-	of.sample.known = true
-	of.sample.latency = waited
-	of.sample.at = now
-}
-
 // learnOverdue moves the ratio towards the quantile of the service's answers.
 func (p *Pool) learnOverdue(done attempt, now time.Time) {
 	ratio := now.Sub(done.sentAt).Seconds() / done.expect
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -121,11 +121,8 @@
 		}
 		ended = true
 		attempt := chosen.ended(sent)
-		switch result.Class {
-		case OK:
+		if result.Class == OK {
 			p.learnOverdue(attempt, now)
-		case Cancelled:
-			p.gaveUp(chosen, attempt, now)
 		}
 		p.record(chosen, result, now)
 		p.limitEjections(now)
