keys: check that no two roster versions have authority at once

The simulation now compares authority directly, removes members without extra delays, and lets callers prefer runners in reach.

--- a/internal/keys/config.go
+++ b/internal/keys/config.go
@@ -18,6 +18,8 @@
 	DefaultTick         = 100 * time.Millisecond
 	DefaultCallTimeout  = time.Second
 	DefaultSuspectAfter = 5 * time.Second
+	DefaultPingInterval = time.Second
+	DefaultEditDelay    = 2 * time.Second
 	DefaultMaxRecords   = 500_000
 	DefaultMaxBytes     = 256 << 20
 	DefaultMaxPeerCalls = 16
@@ -72,6 +74,11 @@
 	CallTimeout time.Duration
 	// SuspectAfter is how long a member fails to answer before it is marked; default 5 s.
 	SuspectAfter time.Duration
+	// PingInterval is the interval of pings to members that need watching, multiplied by this member's place among the
+	// active ones; default 1 s. Members that control knows to be alive are pinged five times more rarely.
+	PingInterval time.Duration
+	// EditDelay is how much later each further member makes an edit of the roster that the first has not made; default 2 s.
+	EditDelay time.Duration
 	// MaxRecords limits the records that claims create; default 500,000. Records of other members come on top.
 	MaxRecords int
 	// MaxBytes limits the memory of records and kept answers in bytes; default 256 MiB.
@@ -99,6 +106,8 @@
 	c.Tick = orDefault(c.Tick, DefaultTick)
 	c.CallTimeout = orDefault(c.CallTimeout, DefaultCallTimeout)
 	c.SuspectAfter = orDefault(c.SuspectAfter, DefaultSuspectAfter)
+	c.PingInterval = orDefault(c.PingInterval, DefaultPingInterval)
+	c.EditDelay = orDefault(c.EditDelay, DefaultEditDelay)
 	c.MaxRecords = orDefault(c.MaxRecords, DefaultMaxRecords)
 	c.MaxBytes = orDefault(c.MaxBytes, DefaultMaxBytes)
 	c.MaxPeerCalls = orDefault(c.MaxPeerCalls, DefaultMaxPeerCalls)
--- a/internal/keys/plan.go
+++ b/internal/keys/plan.go
@@ -9,8 +9,7 @@
 // Intervals of the state machine's calls; each is jittered.
 const (
 	promiseInterval = time.Second
-	pingInterval    = time.Second
-	slowPing        = 5 * time.Second // to members that control knows to be alive
+	slowPing        = 5 // times the ping interval, for members that control knows to be alive
 	readInterval    = 300 * time.Millisecond
 	retryInterval   = 500 * time.Millisecond
 	collectInterval = 300 * time.Millisecond
@@ -126,18 +125,18 @@
 		if m.isSelf(member.ID) {
 			continue
 		}
-		interval := slowPing * slow
+		interval := slowPing * m.cfg.PingInterval * slow
 		switch p := m.peer(member.ID); {
 		case p.curious, m.handingOver():
-			interval = pingInterval / 2
+			interval = m.cfg.PingInterval / 2
 		case m.awaitsActivation() && p.version < m.known.Version, !m.inView(member.ID), p.failures > 0:
-			interval = pingInterval * slow
+			interval = m.cfg.PingInterval * slow
 		}
 		m.ping(now, member.ID, member.PeerAddr, interval)
 	}
 	for _, node := range m.viewMembers() {
 		if m.known.member(node.ID) == nil && !m.isSelf(node.ID) {
-			m.ping(now, node.ID, node.PeerAddr, pingInterval*slow)
+			m.ping(now, node.ID, node.PeerAddr, m.cfg.PingInterval*slow)
 		}
 	}
 }
--- a/internal/keys/planedit.go
+++ b/internal/keys/planedit.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// editDelay is the wait of each further rank before it makes an edit that the first rank has not made.
-	editDelay = 2 * time.Second
 	// joinDelay lets the first member add several nodes in one commit before a node adds itself.
 	joinDelay = 3 * time.Second
 	// joinBatch is how long the first member waits for more nodes that join.
@@ -64,7 +62,7 @@
 	if self == nil {
 		return []edit{{"join", m.selfJoinDelay(), m.buildJoin}}
 	}
-	behind := time.Duration(m.rank()) * editDelay
+	behind := time.Duration(m.rank()) * m.cfg.EditDelay
 	return []edit{
 		{"clear", 0, m.buildClear},
 		{"lost", behind, m.buildLost},
--- a/internal/keys/protocol_test.go
+++ b/internal/keys/protocol_test.go
@@ -99,14 +99,14 @@
 func TestSplits(t *testing.T) {
 	fixRapid(t, "20260202", "100", "30")
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "home"), 0, 4)
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "home"), 0, 6)
 		s.epoch = 4 * time.Second
 		s.advance(25 * time.Second)
 		sides := make([]int, len(s.nodes)+2+len(s.entries))
 		for i := range sides {
 			sides[i] = withTable
 		}
-		for i := range len(s.entries) / 2 {
+		for i := range 4 {
 			sides[s.entries[i].index] = cutOff
 		}
 		sides[s.leader.index] = rapid.SampledFrom([]int{withTable, withTable, onBoth}).Draw(t, "leader")
--- a/internal/keys/sim_test.go
+++ b/internal/keys/sim_test.go
@@ -75,6 +75,7 @@
 	started   int
 	views     int
 	epoch     time.Duration // callers use new keys in each epoch
+	pace      time.Duration // of pings and edits; short: nothing but the protocol's waits delays a removal
 	attempts  uint64
 	runs      map[string][]run
 	ran       map[string]bool // by attempt
@@ -131,7 +132,7 @@
 
 func newSim(seed uint64, home, other, entries int) *sim {
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), table: &simTable{rows: map[string]platform.Row{}}, cut: map[[2]int]bool{},
-		home: "r1", epoch: 40 * time.Second, runs: map[string][]run{}, ran: map[string]bool{}, notRun: map[string]bool{}, outcomes: map[string]int{}}
+		home: "r1", epoch: 40 * time.Second, pace: 200 * time.Millisecond, runs: map[string][]run{}, ran: map[string]bool{}, notRun: map[string]bool{}, outcomes: map[string]int{}}
 	for i := range home + other {
 		n := &simNode{sim: s, name: fmt.Sprintf("n%d", i), region: "r1", rate: 0.955 + 0.09*s.rng.Float64()}
 		n.index = i
@@ -230,7 +231,7 @@
 	n.proc = p
 	self := cluster.Member{ID: p.id, Service: "orders", Region: n.region, PeerAddr: n.name}
 	service, err := New(Config{Self: self, View: cluster.NewView(s.snapshot()), Table: s.table, Runner: p, G: simG, Gmax: simGmax,
-		GrantLife: simGrantLife, SuspectAfter: 2 * time.Second, Clock: n, Seed: uint64(s.started), Keys: func(addr string) rpc.Keys { return s.byName(addr).proc }})
+		GrantLife: simGrantLife, SuspectAfter: time.Second, PingInterval: s.pace, EditDelay: s.pace, Clock: n, Seed: uint64(s.started), Keys: func(addr string) rpc.Keys { return s.byName(addr).proc }})
 	if err != nil {
 		panic(err)
 	}
@@ -282,6 +283,7 @@
 	for _, c := range p.machine.tick(p.node.Now()) {
 		s.perform(p, c)
 	}
+	s.checkAuthority(p)
 	p.records.sweepNext(p.node.Now(), keepTime(&p.cfg))
 	if p.leave && p.machine.out() {
 		p.node.proc = nil
@@ -295,6 +297,23 @@
 	s.at(&p.node.place, s.between(150*time.Millisecond, 250*time.Millisecond), func() { s.tick(p) })
 }
 
+// checkAuthority fails when a node still has authority at an older roster version than one that acts already. Keys that
+// two lost members may have run are refused besides, so double runs alone would not show most faults of authority.
+func (s *sim) checkAuthority(p *proc) {
+	if !p.activated() {
+		return
+	}
+	for _, n := range s.nodes {
+		if q := n.proc; q != nil && q.hasAuthority() && q.gate.roster.Version < p.gate.roster.Version {
+			s.violation = fmt.Sprintf("%s has authority at version %d, %s is activated at %d", q.id, q.gate.roster.Version, p.id, p.gate.roster.Version)
+		}
+	}
+}
+
+func (p *proc) hasAuthority() bool { return p.gate.roster != nil && p.node.Now().Before(p.gate.until) }
+
+func (p *proc) activated() bool { return p.hasAuthority() && p.gate.activated }
+
 func (s *sim) perform(p *proc, c call) {
 	to, target := &s.tableAt, (*simNode)(nil)
 	if c.peer != "" {
--- a/internal/keys/simcall_test.go
+++ b/internal/keys/simcall_test.go
@@ -65,8 +65,7 @@
 		c.refused("no-roster", string(failure.NotRun))
 		return
 	}
-	owner, runners := roster.Owner(c.key), roster.Runners(c.key)
-	runner := runners[s.rng.IntN(len(runners))]
+	owner, runner := roster.Owner(c.key), c.pickRunner(roster.Runners(c.key))
 	request := &rpc.ClaimRequest{Service: "orders", Key: c.key, Fingerprint: []byte("f"), Attempt: c.attempt, Runner: runner.ID,
 		RosterVersion: roster.Version, Replaces: c.replaces}
 	var response *rpc.ClaimResponse
@@ -87,6 +86,18 @@
 	})
 }
 
+// pickRunner prefers runners in reach, as entry nodes do by their own observations.
+func (c *simCall) pickRunner(runners []Member) Member {
+	s := c.sim
+	for range 4 {
+		runner := runners[s.rng.IntN(len(runners))]
+		if !s.cut[[2]int{c.entry.index, s.byName(runner.PeerAddr).index}] {
+			return runner
+		}
+	}
+	return runners[0]
+}
+
 // anyRoster is what a random node in reach has installed, else the newest one in reach, or nil.
 func (s *sim) anyRoster(entry *place) *Roster {
 	var found []*Roster
