Add a bench of failures with separate processes

Orders, keyed and unkeyed, run against five nodes while one or two things fail; each is checked against the targets' run logs.

--- /dev/null
+++ b/bench/failures/main.go
@@ -0,0 +1,132 @@
+// Command failures runs orders against separate processes while one or two things fail, and reports what callers saw:
+// orders without an answer, orders run twice, orders told not-run that ran, and the time to recover.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/acacialock/acacialock/internal/testcluster"
+	"github.com/acacialock/acacialock/internal/testload"
+)
+
+type arguments struct {
+	Only    string        `arg:"--only" help:"run the scenarios whose name contains this"`
+	After   time.Duration `arg:"--after" default:"15s" help:"load after the fault"`
+	Outage  time.Duration `arg:"--outage" default:"15s" help:"length of the store outages"`
+	Workers int           `arg:"--workers" default:"4" help:"for each of keyed and unkeyed orders"`
+	Seed    uint64        `arg:"--seed" default:"7"`
+}
+
+const (
+	before      = 3 * time.Second // load before the fault
+	drainLimit  = time.Minute
+	serviceList = "[services.storefront]\nhome_region = \"sanjose\"\ntimeout = \"3s\"\n"
+)
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	fmt.Printf("seed %d, 5 targets in 2 zones, %d workers each for unkeyed and keyed orders, fault after %v, then %v\n",
+		args.Seed, args.Workers, before, args.After)
+	fmt.Println("scenario                 kind     orders  no answer  not-run  unknown  ran twice  not-run but ran  recovered after")
+	failed := false
+	for _, one := range scenarios {
+		if !strings.Contains(one.name, args.Only) {
+			continue
+		}
+		if err := one.run(args); err != nil {
+			fmt.Printf("%s: %v\n", one.name, err)
+			failed = true
+		}
+	}
+	if failed {
+		os.Exit(1)
+	}
+}
+
+// run starts a cluster, a load of each kind and the fault, and prints a line for each kind.
+func (s scenario) run(args arguments) error {
+	dir, err := os.MkdirTemp("", "acacialock-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	cluster, err := startCluster(dir)
+	if cluster != nil {
+		defer cluster.Stop(false)
+	}
+	if err != nil {
+		return err
+	}
+	loads := map[string]*testload.Load{}
+	for kind, keyed := range map[string]bool{"unkeyed": false, "keyed": true} {
+		loads[kind] = testload.Start(testload.Config{
+			Workers: args.Workers, Keyed: keyed, Prefix: kind, Seed: args.Seed, Entries: entries(cluster), Pause: 20 * time.Millisecond,
+		})
+	}
+	time.Sleep(before)
+	fault := time.Now()
+	note, faultErr := s.fault(cluster, args)
+	time.Sleep(time.Until(fault.Add(args.After)))
+	for _, kind := range []string{"unkeyed", "keyed"} {
+		if err := s.report(cluster, kind, loads[kind].Stop(), fault); err != nil {
+			return err
+		}
+	}
+	if note != "" {
+		fmt.Printf("  %s\n", note)
+	}
+	return faultErr
+}
+
+func startCluster(dir string) (*testcluster.Cluster, error) {
+	cluster, err := testcluster.Start(testcluster.Config{Dir: dir})
+	if err != nil {
+		return cluster, err
+	}
+	for i := range 5 {
+		zone := []string{"sj-a", "sj-b"}[i%2]
+		place := testcluster.Place{Service: "storefront", Region: "sanjose", Zone: zone, ServiceTime: 5 * time.Millisecond}
+		if _, err := cluster.Add(place); err != nil {
+			return cluster, err
+		}
+	}
+	if out, code := cluster.Apply(serviceList); code != 0 {
+		return cluster, fmt.Errorf("apply ended with exit code %d: %s", code, out)
+	}
+	if err := cluster.WaitReady(time.Minute); err != nil {
+		return cluster, err
+	}
+	return cluster, testcluster.WaitFor(time.Minute, "keyed orders", func() bool {
+		return testload.Place(cluster.Nodes[0].EntryAddr, "storefront", fmt.Sprint("warm-", time.Now().UnixNano()), true).Answered
+	})
+}
+
+// entries gives the first two nodes, which no scenario ends.
+func entries(cluster *testcluster.Cluster) func() []string {
+	addrs := []string{cluster.Nodes[0].EntryAddr, cluster.Nodes[1].EntryAddr}
+	return func() []string { return addrs }
+}
+
+func (s scenario) report(cluster *testcluster.Cluster, kind string, orders []*testload.Order, fault time.Time) error {
+	var logs []string
+	for _, node := range cluster.Nodes {
+		logs = append(logs, node.RunLog)
+	}
+	counts, err := testload.Runs(logs...)
+	if err != nil {
+		return err
+	}
+	r := testload.Verify(counts, orders)
+	fmt.Printf("%-24s %-8s %6d  %9d  %7d  %7d  %9d  %15d  %v\n", s.name, kind, r.Orders, r.NotRun+r.Unknown, r.NotRun, r.Unknown,
+		r.RanTwice, r.NotRunButRan, testload.Recovery(fault, orders).Round(10*time.Millisecond))
+	if len(r.Violations) > 0 {
+		return fmt.Errorf("%d promises broken, the first: %s", len(r.Violations), r.Violations[0])
+	}
+	return nil
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -6,17 +6,15 @@
 	"net/http"
 	"os"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/acacialock/acacialock/internal/testcluster"
+	"github.com/acacialock/acacialock/internal/testload"
 )
 
-var errConnRefused = syscall.ECONNREFUSED
-
 const (
 	readyLimit = 60 * time.Second
 	drainLimit = 60 * time.Second
@@ -82,7 +80,7 @@
 	request, err := http.NewRequest(http.MethodGet, "http://"+entry+path, nil)
 	assert.NilError(t, err)
 	request.Host = host
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: testload.CallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
@@ -105,10 +103,8 @@
 func untilKeyed(t *testing.T, entry string) {
 	t.Helper()
 	err := testcluster.WaitFor(readyLimit, "a keyed call", func() bool {
-		one := &order{id: "warm-" + time.Now().Format("150405.000000")}
-		l := &load{t: t, client: &http.Client{Timeout: callTimeout}, keyed: true}
-		l.try(one, entry)
-		return one.answered
+		id := "warm-" + time.Now().Format("150405.000000")
+		return testload.Place(entry, "storefront", id, true).Answered
 	})
 	assert.NilError(t, err)
 }
--- a/internal/e2e/failures_test.go
+++ b/internal/e2e/failures_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/acacialock/acacialock/internal/testcluster"
+	"github.com/acacialock/acacialock/internal/testload"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -49,7 +50,7 @@
 	for _, node := range cluster.Nodes {
 		untilServed(t, node.EntryAddr, "storefront")
 	}
-	traffic := startLoad(t, loadWorkers, false, "kill", entriesOf(cluster.Nodes[0], cluster.Nodes[1]))
+	traffic := startLoad(loadWorkers, false, "kill", entriesOf(cluster.Nodes[0], cluster.Nodes[1]))
 	time.Sleep(time.Second)
 	cluster.Nodes[2].Daemon.Kill()
 	time.Sleep(time.Second)
@@ -58,8 +59,8 @@
 	assert.NilError(t, cluster.Nodes[3].Daemon.Signal(syscall.SIGCONT))
 	assert.NilError(t, cluster.Nodes[2].StartDaemon())
 	time.Sleep(2 * time.Second)
-	total := verify(t, runs(t, cluster), traffic.stop())
-	assert.Assert(t, total.answered > total.orders/2, "most orders should be answered by the nodes that live")
+	total := verify(t, runs(t, cluster), traffic.Stop())
+	assert.Assert(t, total.Answered > total.Orders/2, "most orders should be answered by the nodes that live")
 }
 
 // Guards against a drain that cuts a request or lets new work in: three of four nodes are replaced under load.
@@ -68,7 +69,7 @@
 	for _, node := range cluster.Nodes {
 		untilServed(t, node.EntryAddr, "storefront")
 	}
-	traffic := startLoad(t, loadWorkers, false, "drain", entriesOf(cluster.Nodes[0]))
+	traffic := startLoad(loadWorkers, false, "drain", entriesOf(cluster.Nodes[0]))
 	for _, node := range cluster.Nodes[1:] {
 		time.Sleep(500 * time.Millisecond)
 		assert.NilError(t, node.Daemon.Terminate(drainLimit), node.Daemon.Output())
@@ -76,12 +77,12 @@
 		assert.NilError(t, testcluster.WaitFor(readyLimit, "the restarted node", node.Ready))
 		untilServed(t, node.EntryAddr, "storefront")
 	}
-	orders := traffic.stop()
+	orders := traffic.Stop()
 	total := verify(t, runs(t, cluster), orders)
 	for _, one := range orders {
-		assert.Check(t, one.answered, "order %s was cut: %s", one.id, one.last)
+		assert.Check(t, one.Answered, "order %s was cut: %s", one.ID, one.Last)
 	}
-	assert.Equal(t, total.answered, total.orders)
+	assert.Equal(t, total.Answered, total.Orders)
 }
 
 // Guards against nodes that need the store to serve: it is down while a node restarts and another dies, and the
@@ -95,13 +96,13 @@
 	assert.Equal(t, code, 0, out)
 	faults(t, cluster, `{"down": true}`)
 	defer faults(t, cluster, noFaults)
-	traffic := startLoad(t, loadWorkers, false, "outage", entriesOf(cluster.Nodes[0]))
+	traffic := startLoad(loadWorkers, false, "outage", entriesOf(cluster.Nodes[0]))
 	cluster.Nodes[1].Daemon.Kill()
 	cluster.Nodes[3].Daemon.Kill()
 	assert.NilError(t, cluster.Nodes[3].StartDaemon())
 	assert.NilError(t, testcluster.WaitFor(readyLimit, "the restarted node", cluster.Nodes[3].Ready))
 	untilServed(t, cluster.Nodes[3].EntryAddr, "storefront")
-	verify(t, runs(t, cluster), traffic.stop())
+	verify(t, runs(t, cluster), traffic.Stop())
 	assert.Equal(t, cluster.Nodes[0].Status().Control.ListVersion, uint64(2))
 	assert.Equal(t, cluster.Nodes[3].Status().Control.ListVersion, uint64(2))
 }
@@ -113,7 +114,7 @@
 	for _, node := range cluster.Nodes {
 		untilKeyed(t, node.EntryAddr)
 	}
-	traffic := startLoad(t, loadWorkers, true, "keyed", entriesOf(cluster.Nodes[0], cluster.Nodes[1]))
+	traffic := startLoad(loadWorkers, true, "keyed", entriesOf(cluster.Nodes[0], cluster.Nodes[1]))
 	time.Sleep(time.Second)
 	cluster.Nodes[4].Daemon.Kill()
 	time.Sleep(2 * time.Second)
@@ -123,8 +124,8 @@
 	assert.NilError(t, cluster.Nodes[2].Daemon.Terminate(drainLimit), cluster.Nodes[2].Daemon.Output())
 	assert.NilError(t, cluster.Nodes[4].StartDaemon())
 	time.Sleep(10 * time.Second)
-	total := verify(t, runs(t, cluster), traffic.stop())
-	assert.Assert(t, total.answered > 0)
+	total := verify(t, runs(t, cluster), traffic.Stop())
+	assert.Assert(t, total.Answered > 0)
 }
 
 // Guards against a request that crashes every target that its caller's resends reach.
@@ -133,7 +134,7 @@
 	for _, node := range cluster.Nodes {
 		untilServed(t, node.EntryAddr, "storefront")
 	}
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: testload.CallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := range 12 {
 		entry := cluster.Nodes[n%len(cluster.Nodes)].EntryAddr
 		request, err := http.NewRequest(http.MethodGet, "http://"+entry+"/crash", nil)
--- a/internal/e2e/regions_test.go
+++ b/internal/e2e/regions_test.go
@@ -20,6 +20,7 @@
 	"github.com/acacialock/acacialock/internal/platformtest"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/testcluster"
+	"github.com/acacialock/acacialock/internal/testload"
 	"github.com/acacialock/acacialock/internal/testnet"
 )
 
@@ -151,11 +152,11 @@
 	untilKeyed(t, near.settings.EntryAddr)
 	untilKeyed(t, far.settings.EntryAddr)
 
-	loads := map[string]*load{
-		"unkeyed in sanjose":    startLoad(t, 3, false, "us", r.entries("sanjose")),
-		"unkeyed in guanacaste": startLoad(t, 3, false, "ug", r.entries("guanacaste")),
-		"keyed in sanjose":      startLoad(t, 3, true, "ks", r.entries("sanjose")),
-		"keyed in guanacaste":   startLoad(t, 3, true, "kg", r.entries("guanacaste")),
+	loads := map[string]*testload.Load{
+		"unkeyed in sanjose":    startLoad(3, false, "us", r.entries("sanjose")),
+		"unkeyed in guanacaste": startLoad(3, false, "ug", r.entries("guanacaste")),
+		"keyed in sanjose":      startLoad(3, true, "ks", r.entries("sanjose")),
+		"keyed in guanacaste":   startLoad(3, true, "kg", r.entries("guanacaste")),
 	}
 	time.Sleep(2 * time.Second)
 	r.network.Cut(testnet.Between)
@@ -168,25 +169,26 @@
 	time.Sleep(12 * time.Second)
 	during := map[string]int{}
 	for name, l := range loads {
-		during[name] = l.answered()
+		during[name] = l.Answered()
 	}
 	time.Sleep(2 * time.Second)
 	for _, name := range []string{"unkeyed in sanjose", "unkeyed in guanacaste", "keyed in sanjose"} {
-		assert.Check(t, loads[name].answered() > during[name], "%s: no order was answered late in the split", name)
+		assert.Check(t, loads[name].Answered() > during[name], "%s: no order was answered late in the split", name)
 	}
 	r.network.Heal()
 	assert.NilError(t, testcluster.WaitFor(readyLimit, "the list in the other region", func() bool {
 		return r.status(far).Control.ListVersion == 2
 	}))
 	untilKeyed(t, far.settings.EntryAddr)
-	for _, l := range loads {
-		l.stop()
+	orders := map[string][]*testload.Order{}
+	for name, l := range loads {
+		orders[name] = l.Stop()
 	}
 	time.Sleep(settleTime)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, l := range loads {
+	for name := range loads {
 		t.Log(name)
-		verify(t, r.runs, l.orders)
+		verify(t, r.runs, orders[name])
 	}
 }
