Ask the kernel whether the sentinel's connection ended

The test's target closed its connections one after the other in a second goroutine, and the sentinel's reader may be scheduled later than the verdict.

--- a/internal/attempt/ledger.go
+++ b/internal/attempt/ledger.go
@@ -20,7 +20,7 @@
 
 // Defaults for limits that are zero.
 const (
-	// 262,144 entries of about 110 bytes hold 430 attempts/s for 10 min.
+	// 262,144 entries of about 100 bytes hold 430 attempts/s for 10 min.
 	DefaultMaxEntries     = 1 << 18
 	DefaultMaxAnswerBytes = 16 << 20
 )
--- a/internal/inbound/node_test.go
+++ b/internal/inbound/node_test.go
@@ -166,10 +166,11 @@
 	handler http.HandlerFunc
 	ended   atomic.Bool
 
-	mu     sync.Mutex
-	server *http.Server
-	conns  map[net.Conn]struct{}
-	group  sync.WaitGroup
+	mu       sync.Mutex
+	server   *http.Server
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	group    sync.WaitGroup
 }
 
 func startCrashTarget(t testing.TB, pause time.Duration, handler http.HandlerFunc) *crashTarget {
@@ -189,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := map[net.Conn]struct{}{}
-	c.conns = conns
+	c.conns, c.listener = conns, listener
 	server := &http.Server{Handler: c, ConnState: func(conn net.Conn, state http.ConnState) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -226,8 +227,10 @@
 	}
 	dying := c.server
 	c.server = nil
-	for conn := range c.conns {
+	_ = c.listener.Close()
+	for conn := range c.conns { // all before the handler returns, as the kernel does it
 		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
 	}
 	c.group.Go(func() {
 		_ = dying.Close()
--- a/internal/quarantine/sentinel.go
+++ b/internal/quarantine/sentinel.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,10 +36,33 @@
 	switch {
 	case s.broke.After(at.Add(-crashWindow)):
 		return sentinelBroke
-	case s.conn != nil && s.opened.Before(at):
-		return sentinelHeld
+	case s.conn == nil || s.opened.After(at):
+		return sentinelAbsent
+	case ended(s.conn):
+		return sentinelBroke
+	}
+	return sentinelHeld
+}
+
+// ended asks the kernel whether the target closed the connection. On a busy machine the goroutine that reads it may
+// learn this too late.
+func ended(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		n, _, failed = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil: // closed from here after it ended
+		return true
+	case failed != nil:
+		return failed != syscall.EAGAIN && failed != syscall.EINTR
 	}
-	return sentinelAbsent
+	return n == 0
 }
 
 // keep opens the connection in the background when there is none.
