--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -33,11 +33,11 @@
 type Config struct {
 	Self       cluster.Member
 	View       *cluster.View
-	TargetAddr string // host:port of the local target
-	Metrics    *telemetry.Registry
-	Gate       KeyGate          // nil: keyed attempts are refused
-	Peers      quarantine.Peers // nil: suspects of a crash are not shared
-	HealthPath string           // path that WatchHealth asks; empty: none
+	TargetAddr string              // host:port of the local target
+	Metrics    *telemetry.Registry // required
+	Gate       KeyGate             // nil: keyed attempts are refused
+	Peers      quarantine.Peers    // nil: suspects of a crash are not shared
+	HealthPath string              // path that WatchHealth asks; empty: none
 	// MaxAttempts and MaxAnswerBytes bound the ledger; 0 takes its defaults.
 	MaxAttempts    int
 	MaxAnswerBytes int
