--- a/internal/keys/client.go
+++ b/internal/keys/client.go
@@ -92,7 +92,7 @@
 type Taken struct {
 	Attempt wire.AttemptID
 	Runner  string
-	// RunnerAddr is the runner's peer address; empty: the runner is no member any more and can't be asked.
+	// RunnerAddr is the runner's peer address; empty: the runner is gone and can't be asked.
 	RunnerAddr string
 	// State and Answer are what a runner handed over that has left; State is ATTEMPT_UNKNOWN when it did not.
 	State  rpc.AttemptState
@@ -146,7 +146,7 @@
 		reason := failure.Reason(response.Reason)
 		return grant, worthRetry(reason), failure.New(reason, failure.Outcome(response.Outcome), "claim refused by %s at roster version %d", owner.ID, response.RosterVersion)
 	}
-	return granted(roster, owner, response), false, nil
+	return c.granted(roster, owner, response), false, nil
 }
 
 func claimRequest(roster *Roster, args ClaimArgs) *rpc.ClaimRequest {
@@ -162,7 +162,7 @@
 	return reason == failure.KeyRosterMismatch || reason == failure.KeyOwnerNotReady || reason == failure.KeyAuthorityLapsed
 }
 
-func granted(roster *Roster, owner *Member, response *rpc.ClaimResponse) Grant {
+func (c *Client) granted(roster *Roster, owner *Member, response *rpc.ClaimResponse) Grant {
 	grant := Grant{Granted: response.Granted, Owner: owner.ID, RosterVersion: response.RosterVersion}
 	if response.Granted {
 		return grant
@@ -171,12 +171,23 @@
 	grant.Taken.Runner = response.TakenRunner
 	grant.Taken.State = response.TakenState
 	grant.Taken.Answer = response.Answer
-	if runner := roster.member(response.TakenRunner); runner != nil {
-		grant.Taken.RunnerAddr = runner.PeerAddr
-	}
+	grant.Taken.RunnerAddr = c.address(roster, response.TakenRunner)
 	return grant
 }
 
+// address finds a runner in the roster, or among the nodes that control knows when it left the roster but still runs.
+func (c *Client) address(roster *Roster, id string) string {
+	if runner := roster.member(id); runner != nil {
+		return runner.PeerAddr
+	}
+	for _, node := range c.cfg.View.Load().Members[roster.Service] {
+		if node.ID == id {
+			return node.PeerAddr
+		}
+	}
+	return ""
+}
+
 // pause waits before the next try; false: ctx ended.
 func (c *Client) pause(ctx context.Context) bool {
 	c.mu.Lock()
--- a/internal/keys/failures_test.go
+++ b/internal/keys/failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/wire"
 )
 
 // settledSim returns a world whose members have activated one roster, with its first member and a key that it owns.
@@ -213,3 +215,32 @@
 	assert.Equal(t, s.violation, "")
 	assert.Assert(t, answers >= both, "%d answers for %d keys of the member that left", answers, both)
 }
+
+// TestClientOutcomes guards against an outcome other than not-run for a claim that no owner answered, and against a
+// claim that is sent with a runner that may not run the key.
+func TestClientOutcomes(t *testing.T) {
+	s, p, key := settledSim(t, 3)
+	reached := true
+	client := NewClient(ClientConfig{View: p.cfg.View, Keys: func(addr string) rpc.Keys {
+		if !reached {
+			return rpc.NewKeysProtobufClient("http://127.0.0.1:1", http.DefaultClient)
+		}
+		return s.byName(addr).proc
+	}, ClaimWait: 200 * time.Millisecond, CallTimeout: 50 * time.Millisecond, Clock: s.nodes[0], Seed: 1})
+	args := ClaimArgs{Service: "orders", Key: key, Fingerprint: []byte("f"), Attempt: wire.AttemptID{1}, Runner: p.gate.roster.Runners(key)[0].ID}
+	grant, err := client.Claim(context.Background(), args)
+	assert.NilError(t, err)
+	assert.Assert(t, grant.Granted && grant.Owner == p.id && grant.SendBefore.Equal(p.node.Now().Add(DefaultGrantLife/2)))
+	other := args
+	other.Attempt = wire.AttemptID{2}
+	grant, err = client.Claim(context.Background(), other)
+	assert.NilError(t, err)
+	assert.Assert(t, !grant.Granted && grant.Taken.Attempt == args.Attempt && grant.Taken.RunnerAddr != "")
+	other.Runner = p.id
+	_, err = client.Claim(context.Background(), other)
+	assert.Equal(t, failure.As(err).Reason, failure.KeyRosterMismatch)
+	reached = false
+	_, err = client.Claim(context.Background(), args)
+	assert.Equal(t, failure.As(err).Reason, failure.KeyOwnerGone)
+	assert.Equal(t, failure.As(err).Outcome, failure.NotRun)
+}
--- a/internal/keys/service.go
+++ b/internal/keys/service.go
@@ -22,19 +22,27 @@
 	records *store
 	machine *machine // only the goroutine of Run uses it
 	posts   chan func(now time.Time)
-	stopped chan struct{}
-	calls   sync.WaitGroup
+	// confirms is a queue, so that control never waits for Run; a full queue drops, because control confirms each second.
+	confirms chan confirmation
+	stopped  chan struct{}
+	calls    sync.WaitGroup
 	// call runs do on the goroutine that owns the machine and waits for its end.
 	call func(ctx context.Context, do func(now time.Time)) error
 }
 
+// confirmation is what control read of the roster row.
+type confirmation struct {
+	commit uint64
+	asOf   time.Time
+}
+
 // New checks the settings and returns a service that acts once Run runs. It fails with *ConfigError.
 func New(cfg Config) (*Service, error) {
 	cfg = cfg.withDefaults()
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	s := &Service{cfg: cfg, posts: make(chan func(time.Time)), stopped: make(chan struct{})}
+	s := &Service{cfg: cfg, posts: make(chan func(time.Time)), confirms: make(chan confirmation, 4), stopped: make(chan struct{})}
 	s.gate = &gate{self: cfg.Self.ID, service: cfg.Self.Service}
 	s.records = newStore(cfg.Clock.Now(), cfg.MaxRecords, cfg.MaxBytes)
 	s.machine = newMachine(&s.cfg, s.gate, s.records)
@@ -55,6 +63,8 @@
 			return
 		case post := <-s.posts:
 			post(s.cfg.Clock.Now())
+		case c := <-s.confirms:
+			s.machine.confirm(s.cfg.Clock.Now(), c.commit, c.asOf)
 		case <-ticker.C:
 			s.records.sweepNext(s.cfg.Clock.Now(), keepTime(&s.cfg))
 		}
@@ -118,7 +128,10 @@
 	if rowVersion == 0 {
 		return
 	}
-	s.post(context.Background(), func(now time.Time) { s.machine.confirm(now, rowVersion, asOf) })
+	select {
+	case s.confirms <- confirmation{rowVersion, asOf}:
+	default:
+	}
 }
 
 // Check is the runner's last gate, at the moment of dispatch: it tells whether this node may run an attempt that owner
