Learn the crash suspects before serving, test it with replaced nodes

Cause: a node that starts knew no suspects, so a request that crashes targets could take down each replaced instance. It now takes them over from the service's members before it admits forwarded requests.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -20,7 +20,7 @@
 	mux.Handle("GET /metrics", d.metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.control.Status().Ready || opened.draining.Load() {
+		if !d.ready.Load() || opened.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +56,9 @@
 	policies  *entry.Policies
 	transport *forward.Transport
 	listeners *listeners
+	// ready is set once control is ready and the suspects that other nodes know were taken over. Forwarded requests are
+	// refused before, or a request that crashes targets would take down each new instance.
+	ready atomic.Bool
 }
 
 // Options changes what a node is built from; the zero value is for use in production.
@@ -215,6 +219,10 @@
 		d.refresh(running)
 		return nil
 	})
+	group.Go(func() error {
+		d.becomeReady(running)
+		return nil
+	})
 	d.listeners.serve(group)
 	klog.Infof("node %s serves service %s: entry %s, peers %s, admin %s", d.self.ID, d.self.Service,
 		d.settings.EntryAddr, d.settings.PeerAddr, d.settings.AdminAddr)
@@ -233,6 +241,24 @@
 	return drained
 }
 
+// readyPoll is the interval at which the start is checked for its end.
+const readyPoll = 20 * time.Millisecond
+
+// becomeReady admits forwarded requests once the start is complete.
+func (d *Daemon) becomeReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !d.control.Status().Ready {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	d.inbound.TakeOverSuspects(ctx)
+	d.ready.Store(true)
+}
+
 // refreshInterval bounds how long a node without calls goes on with older budgets.
 const refreshInterval = time.Second
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/wire"
 )
@@ -113,6 +114,8 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		switch {
+		case strings.HasPrefix(request.URL.Path, wire.ForwardPath+"/") && !d.ready.Load():
+			d.refuseStarting(w)
 		case strings.HasPrefix(request.URL.Path, wire.ForwardPath+"/"):
 			d.inbound.ServeHTTP(w, request)
 		case strings.HasPrefix(request.URL.Path, wire.RelayPath+"/"):
@@ -122,3 +125,12 @@
 		}
 	})
 }
+
+// refuseStarting refuses a forwarded request, which another target may run.
+func (d *Daemon) refuseStarting(w http.ResponseWriter) {
+	refused := failure.New(failure.Starting, failure.NotRun, "the node is starting")
+	d.metrics.Refused("target", refused.Reason)
+	w.Header().Set(wire.Reason, string(refused.Reason))
+	w.Header().Set(wire.Outcome, string(refused.Outcome))
+	w.WriteHeader(refused.Status())
+}
--- a/internal/e2e/failures_test.go
+++ b/internal/e2e/failures_test.go
@@ -128,14 +128,33 @@
 	assert.Assert(t, total.Answered > 0)
 }
 
-// Guards against a request that crashes every target that its caller's resends reach.
+// Guards against a request that crashes every target that its caller's resends reach, also when a node is replaced
+// between them: the new node must know the suspects before it serves.
 func TestCrashingRequestTakesDownAtMostTwoTargets(t *testing.T) {
 	cluster := newCluster(t, storefronts(4)...)
 	for _, node := range cluster.Nodes {
 		untilServed(t, node.EntryAddr, "storefront")
 	}
+	sendCrashing(t, cluster, 12)
+	down := targetsDown(cluster)
+	assert.Assert(t, down >= 1, "the request must crash a target for this test to show anything")
+	assert.Assert(t, down <= 2, "%d targets were taken down", down)
+	for _, node := range cluster.Nodes {
+		if node.Target.Ended() {
+			continue
+		}
+		node.Daemon.Kill()
+		assert.NilError(t, node.StartDaemon())
+		assert.NilError(t, testcluster.WaitFor(readyLimit, "the replaced node", node.Ready))
+	}
+	sendCrashing(t, cluster, 12)
+	assert.Assert(t, targetsDown(cluster) <= 2, "%d targets were taken down after nodes were replaced", targetsDown(cluster))
+}
+
+func sendCrashing(t *testing.T, cluster *testcluster.Cluster, times int) {
+	t.Helper()
 	client := &http.Client{Timeout: testload.CallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	for n := range 12 {
+	for n := range times {
 		entry := cluster.Nodes[n%len(cluster.Nodes)].EntryAddr
 		request, err := http.NewRequest(http.MethodGet, "http://"+entry+"/crash", nil)
 		assert.NilError(t, err)
@@ -145,14 +164,16 @@
 			_ = response.Body.Close()
 		}
 	}
+}
+
+func targetsDown(cluster *testcluster.Cluster) int {
 	down := 0
 	for _, node := range cluster.Nodes {
 		if node.Target.Ended() {
 			down++
 		}
 	}
-	assert.Assert(t, down >= 1, "the request must crash a target for this test to show anything")
-	assert.Assert(t, down <= 2, "%d targets were taken down", down)
+	return down
 }
 
 // Guards against a lost change: operators apply different lists at once, and each must win once or see a conflict.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -129,7 +129,7 @@
 	switch failed.Reason {
 	case failure.ConnectFailed, failure.ConnectionSilent:
 		return true
-	case failure.Draining, failure.WrongIncarnation, failure.TargetUnreachable:
+	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
 	default:
 		return false
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -24,6 +24,7 @@
 	DependencyForbidden Reason = "dependency-not-declared"
 
 	// Target's node.
+	Starting            Reason = "starting"
 	Draining            Reason = "draining"
 	QueueFull           Reason = "queue-full"
 	DeadlineUnreachable Reason = "deadline-unreachable"
