--- a/internal/keys/machine.go
+++ b/internal/keys/machine.go
@@ -15,25 +15,26 @@
 	gate    *gate
 	records *store
 
-	known     *Roster // newest row seen; never changed in place
-	row       rowSeen
-	installed *Roster // mirrors gate.roster
-	wantRow   bool    // the table is known to hold a newer row
-	collected map[string]bool
-	activated bool
-	authority authority
-	peers     map[string]*peer
-	marks     map[string]seenMark // suspect members
-	lostSeen  map[LostMember]time.Time
-	needs     map[string]time.Time // since when an edit has been needed
-	busy      map[callKey]bool
-	next      map[callKey]time.Time // earliest time of the next call
-	wantLeave bool
-	closing   bool // the removal of this member was sent
-	pending   []call
-	peerCalls int
-	installAt time.Time
-	conflicts int
+	known      *Roster // newest row seen; never changed in place
+	knownValue []byte  // known, encoded
+	row        rowSeen
+	installed  *Roster // mirrors gate.roster
+	wantRow    bool    // the table is known to hold a newer row
+	collected  map[string]bool
+	activated  bool
+	authority  authority
+	peers      map[string]*peer
+	marks      map[string]seenMark // suspect members
+	lostSeen   map[LostMember]time.Time
+	needs      map[string]time.Time // since when an edit has been needed
+	busy       map[callKey]bool
+	next       map[callKey]time.Time // earliest time of the next call
+	wantLeave  bool
+	closing    bool // the removal of this member was sent
+	pending    []call
+	peerCalls  int
+	installAt  time.Time
+	conflicts  int
 }
 
 // rowSeen is what the last successful read or commit of the row showed.
@@ -151,6 +152,7 @@
 		return
 	}
 	m.known = roster
+	m.knownValue = roster.encode()
 	m.wantRow = false
 	m.noteMarks(now)
 	m.noteLost(now)
--- a/internal/keys/perform.go
+++ b/internal/keys/perform.go
@@ -26,9 +26,6 @@
 		r.promise, r.err = cfg.Keys(c.addr).Promise(ctx, &rpc.PromiseRequest{Service: self.Service, Requester: self.ID, RosterVersion: c.version})
 	case callPing:
 		r.ping, r.err = cfg.Keys(c.addr).Roster(ctx, &rpc.RosterRequest{Service: self.Service})
-		if r.err == nil && len(r.ping.Roster) != 0 {
-			r.roster, r.err = parseRoster(r.ping.Roster)
-		}
 	}
 	return r
 }
--- a/internal/keys/plan.go
+++ b/internal/keys/plan.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/rpc"
@@ -49,7 +50,7 @@
 	call
 	err     error
 	absent  bool    // callRead: the row does not exist
-	roster  *Roster // callRead, callCommit, callPing
+	roster  *Roster // callRead, callCommit
 	row     uint64  // table version of roster
 	collect *rpc.CollectResponse
 	promise *rpc.PromiseResponse
@@ -267,8 +268,11 @@
 	p.curious = false
 	p.eligible = r.ping.Eligible
 	p.version = max(p.version, r.ping.ActivatedVersion)
-	if r.roster != nil {
-		m.observe(now, r.roster)
+	if len(r.ping.Roster) == 0 || bytes.Equal(r.ping.Roster, m.knownValue) {
+		return
+	}
+	if roster, err := parseRoster(r.ping.Roster); err == nil {
+		m.observe(now, roster)
 	}
 }
 
@@ -318,7 +322,7 @@
 		return response
 	}
 	response.RosterVersion = m.installed.Version
-	response.Roster = m.known.encode()
+	response.Roster = m.knownValue
 	self := m.installed.member(m.cfg.Self.ID)
 	if m.activated || self != nil && self.State == StateLeaving {
 		response.ActivatedVersion = m.installed.Version
