--- a/internal/keys/machine.go
+++ b/internal/keys/machine.go
@@ -15,20 +15,21 @@
 	gate    *gate
 	records *store
 
-	known     *Roster // newest row seen; never changed in place
-	row       rowSeen
-	installed *Roster // mirrors gate.roster
-	wantRow   bool    // the table is known to hold a newer row
-	collected map[string]bool
-	activated bool
-	authority authority
-	peers     map[string]*peer
-	marks     map[string]seenMark // suspect members
-	lostSeen  map[LostMember]time.Time
-	needs     map[string]time.Time // since when an edit has been needed
-	busy      map[callKey]bool
-	next      map[callKey]time.Time // earliest time of the next call
-	wantLeave bool
+	known      *Roster // newest row seen; never changed in place
+	knownValue []byte  // known, encoded
+	row        rowSeen
+	installed  *Roster // mirrors gate.roster
+	wantRow    bool    // the table is known to hold a newer row
+	collected  map[string]bool
+	activated  bool
+	authority  authority
+	peers      map[string]*peer
+	marks      map[string]seenMark // suspect members
+	lostSeen   map[LostMember]time.Time
+	needs      map[string]time.Time // since when an edit has been needed
+	busy       map[callKey]bool
+	next       map[callKey]time.Time // earliest time of the next call
+	wantLeave  bool
 	// wasInvolved is set once this node was a member or may have asked to become one.
 	wasInvolved bool
 	closing     bool // the removal of this member was sent
@@ -157,6 +158,7 @@
 		return
 	}
 	m.known = roster
+	m.knownValue = roster.encode()
 	m.wantRow = false
 	m.noteMarks(now)
 	m.noteLost(now)
