keys: carry a confirmation over to a newer roster, don't wait for members that left

A member that left had asked for promises, and the others waited for these to end although it had given its authority up before its removal. And each new roster version had no authority until the table confirmed that version, although a confirmation of an older one shows that no mark on the member was committed before it, and a removal waits for G after the mark. Both rules are checked by TestProtocol, TestSplits and TestChainedRemovals, which pass (35 s).

--- a/internal/keys/authority.go
+++ b/internal/keys/authority.go
@@ -44,8 +44,10 @@
 		return time.Time{}
 	}
 	end := a.promisedUntil(cfg, roster)
-	if confirmed, ok := a.confirmed[roster.Version]; ok && confirmed.Add(cfg.G).After(end) {
-		end = confirmed.Add(cfg.G)
+	// A confirmation of an older version counts too: a mark on this member would have been committed after it, and the
+	// member's removal waits for G after the mark.
+	if confirmed := a.alive.Add(cfg.G); !a.alive.IsZero() && confirmed.After(end) {
+		end = confirmed
 	}
 	return end
 }
@@ -81,14 +83,15 @@
 	a.given[requester] = now.Add(rateMargin(d))
 }
 
-// promisedToRemoved reports whether a promise is in force to a node that is no member of the roster.
+// promisedToRemoved reports whether a promise is in force to a node that the roster shows as lost. A member that left by
+// itself gave its authority up before it committed its removal, so promises to it don't count.
 func (a *authority) promisedToRemoved(now time.Time, roster *Roster) bool {
 	for id, end := range a.given {
 		if !now.Before(end) {
 			delete(a.given, id)
 			continue
 		}
-		if roster.member(id) == nil {
+		if roster.lost(id) {
 			return true
 		}
 	}
--- a/internal/keys/roster.go
+++ b/internal/keys/roster.go
@@ -96,6 +96,11 @@
 	return &r.Members[i]
 }
 
+// lost reports whether the roster shows the member as removed without a handover.
+func (r *Roster) lost(id string) bool {
+	return slices.ContainsFunc(r.Lost, func(m LostMember) bool { return m.ID == id })
+}
+
 func (r *Roster) activeCount() int {
 	count := 0
 	for i := range r.Members {
