--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# Measurements. Without an argument: the short form, under five minutes. "full": all of them, about an hour.
+# Results go to the terminal and to bench/results/.
+set -e
+results=bench/results
+mkdir -p "$results"
+show() {
+	echo "== $*"
+	"$@" 2>&1 | grep -v '^[IW][0-9]'
+}
+short() {
+	show go run ./bench/overhead --duration 10s --rounds 2
+	show go test ./internal/daemon -run '^$' -bench Call -benchtime 2s -cpu 4
+	show go test ./internal/keys ./internal/attempt ./internal/balance -run '^$' -bench . -benchtime 0.5s
+	show go run ./bench/failures --only kill --after 12s
+	show go run ./bench/failures --only crashing --after 8s
+}
+full() {
+	show go run ./bench/overhead --duration 20s --rounds 5
+	show go test ./internal/daemon -run '^$' -bench Call -benchtime 5s -cpu 4
+	show go test ./... -run '^$' -bench . -benchtime 2s
+	show go run ./bench/load
+	show go run ./bench/control -members 10,30,100,300
+	show go run ./bench/failures --outage 60s --after 75s
+}
+case "${1:-short}" in
+short) short | tee "$results/short.txt" ;;
+full) full | tee "$results/full.txt" ;;
+*) echo "usage: make bench [BENCH=full]" >&2; exit 2 ;;
+esac
