--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -42,13 +42,14 @@
 
 // world is a system of nodes in one process that runs on the virtual clock of package synctest.
 type world struct {
-	store *controltest.Store
-	mu    sync.Mutex
-	procs map[string]*proc                     // by peer address
-	delay func(from, to string) time.Duration  // before a call arrives; negative: it never does
-	bad   bool                                 // peers give damaged texts of lists
-	made  int                                  // processes started, for ids and seeds
-	onRow func(p *proc, v uint64, t time.Time) // OnRosterVersion
+	store  *controltest.Store
+	mu     sync.Mutex
+	procs  map[string]*proc                     // by peer address
+	delay  func(from, to string) time.Duration  // before a call arrives; negative: it never does
+	bad    bool                                 // peers give damaged texts of lists
+	paused sync.WaitGroup                       // pauses that have not ended
+	made   int                                  // processes started, for ids and seeds
+	onRow  func(p *proc, v uint64, t time.Time) // OnRosterVersion
 }
 
 // proc is one process of a node.
@@ -164,9 +165,11 @@
 	<-p.done
 }
 
-// pause stops the control goroutine for d; calls to the node wait or time out.
+// pause stops the control goroutine for d; calls to the node wait or time out. Pauses of one node add up.
 func (p *proc) pause(d time.Duration) {
-	go func() { _ = p.node.post(context.Background(), func(*state) { time.Sleep(d) }) }() // a stopped node stays so
+	p.world.paused.Go(func() {
+		_, _ = ask(context.Background(), p.node, func(*state) bool { time.Sleep(d); return true }) // a stopped node stays so
+	})
 }
 
 func (w *world) all() []*proc {
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -130,6 +130,7 @@
 				time.Sleep(time.Duration(rapid.IntRange(0, 9000).Draw(r, "ms")) * time.Millisecond)
 			}
 			w.store.SetDown(false)
+			w.paused.Wait()
 			eventually(r, 60*time.Second, "one leader and all members", func() bool {
 				return len(w.leaders("a")) == 1 && complete(w.all(), 3)
 			})
--- a/internal/control/list_test.go
+++ b/internal/control/list_test.go
@@ -162,6 +162,7 @@
 }
 
 func (h *listHistory) heal() {
+	h.w.paused.Wait()
 	h.toggles.Add(h.toggles.Load() % 2)
 	h.w.store.SetDown(false)
 	h.w.setDelay(func(string, string) time.Duration { return time.Millisecond })
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -147,7 +147,9 @@
 		w := newWorld()
 		defer w.stop()
 		small(t, w)
-		w.store.SetFault(func(string, string) controltest.Fault { return controltest.Fault{Delay: 1500 * time.Millisecond} })
+		w.store.SetFault(func(string, string) controltest.Fault {
+			return controltest.Fault{Delay: 1500 * time.Millisecond}
+		})
 		old := w.leaders("a")[0]
 		old.kill()
 		eventually(t, 15*time.Second, "a new leader", func() bool { return len(w.leaders("a")) == 1 })
