Stay in the region after a refusal

A refusal takes a member out of the choice for 10 ms. In small regions that left only the other region's members, although a full queue drains in less than the link's delay.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -27,11 +27,28 @@
 	if ready := p.ready(healthy, now); len(ready) > 0 {
 		healthy = ready
 	}
-	return p.nearest(healthy, now)
+	return p.nearest(p.keepRegion(healthy, allowed, now), now)
 }
 
 func (p *Pool) looksHealthy(candidate *peer, now time.Time) bool {
-	return !now.Before(candidate.avoidUntil) && candidate.ejection.admits(now)
+	return !now.Before(candidate.failedUntil) && !now.Before(candidate.refusedUntil) && candidate.ejection.admits(now)
+}
+
+// keepRegion adds the region's members that only refused a moment ago when no other member of the region is left. A full
+// queue drains in less time than the link's delay.
+func (p *Pool) keepRegion(healthy, allowed []*peer, now time.Time) []*peer {
+	for _, candidate := range healthy {
+		if candidate.distance != otherRegion {
+			return healthy
+		}
+	}
+	for _, candidate := range allowed {
+		refusedOnly := !now.Before(candidate.failedUntil) && candidate.ejection.admits(now)
+		if candidate.distance != otherRegion && refusedOnly {
+			healthy = append(healthy, candidate)
+		}
+	}
+	return healthy
 }
 
 // spread is used when most members look bad: the estimates are then more likely wrong than the members. It chooses by
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -20,8 +20,8 @@
 	ejection ejection
 	start    slowStart
 
-	// avoidUntil is set by refusals and failed connections.
-	avoidUntil time.Time
+	refusedUntil time.Time // avoided after a refusal for lack of room
+	failedUntil  time.Time // avoided after a failed connection or because the member is gone
 	// draining is set when the member's node says so before the member set does.
 	draining bool
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -145,13 +145,13 @@
 	}
 	switch result.Class {
 	case OK:
-		of.avoidUntil = time.Time{}
+		of.refusedUntil, of.failedUntil = time.Time{}, time.Time{}
 		of.health.answered(p.serviceTime(of, result))
 		p.review(of, now)
 	case Refused:
 		of.refused(result.Reason, now)
 	case Failed:
-		of.avoidUntil = now.Add(failureAvoidance)
+		of.failedUntil = now.Add(failureAvoidance)
 		of.health.failed()
 		p.review(of, now)
 	}
@@ -178,10 +178,10 @@
 	case failure.Draining:
 		p.draining = true
 	case failure.WrongIncarnation, failure.WrongService:
-		p.avoidUntil = now.Add(goneAvoidance)
+		p.failedUntil = now.Add(goneAvoidance)
 	case failure.TargetUnreachable, failure.ConnectionLimit:
-		p.avoidUntil = now.Add(failureAvoidance)
+		p.failedUntil = now.Add(failureAvoidance)
 	case failure.QueueFull, failure.DeadlineUnreachable, failure.LedgerFull:
-		p.avoidUntil = now.Add(refusalAvoidance)
+		p.refusedUntil = now.Add(refusalAvoidance)
 	}
 }
