--- a/internal/keys/sim_test.go
+++ b/internal/keys/sim_test.go
@@ -67,6 +67,7 @@
 	tableAt   place
 	leader    place // the zone leader that reads the index row for all nodes
 	tableDown bool
+	healed    bool // no more faults; entry nodes find the newest roster
 	nodes     []*simNode
 	entries   []*place
 	cut       map[[2]int]bool
