Detect a leader that is cut off from its zone

Members crossed the timeout one after another, so the leader removed them one by one and never saw three silent at once: it kept the lease and wrote a members row that held itself alone. Silence of the others now counts from half of the timeout.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -270,18 +270,23 @@
 }
 
 // isolated reports whether all members that this leader heard became silent, which points to the leader's own network.
+// Heartbeats are spread over an interval, so the others count as silent after half of the timeout: with the whole
+// timeout the first ones would be removed before the last is silent.
 func (s *state) isolated() bool {
 	others := 0
+	expired := false
 	for id, r := range s.lease.records {
 		if id == s.self.ID || !r.heard {
 			continue
 		}
-		if time.Since(r.seen) <= s.cfg.MemberTimeout {
+		silent := time.Since(r.seen)
+		if silent <= s.cfg.MemberTimeout/2 {
 			return false
 		}
+		expired = expired || silent > s.cfg.MemberTimeout
 		others++
 	}
-	return others >= isolationMembers
+	return expired && others >= isolationMembers
 }
 
 // yield lets the lease lapse, so that a node which the others can reach takes it.
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -109,6 +109,32 @@
 	})
 }
 
+// Guards against a leader that keeps the lease and removes its whole zone while only its own network is cut off.
+func TestIsolatedLeaderYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.stop()
+		small(t, w)
+		w.start("a3", "front", "a", "b0")
+		eventually(t, 10*time.Second, "a fourth node", func() bool { return seenAnywhere(w, "a3") })
+		old := w.leaders("a")[0]
+		cut := old.member.PeerAddr
+		w.setDelay(func(from, to string) time.Duration {
+			if from == cut || to == cut {
+				return -1
+			}
+			return time.Millisecond
+		})
+		eventually(t, 20*time.Second, "a leader that the others reach", func() bool {
+			leaders := w.leaders("a")
+			return len(leaders) == 1 && leaders[0] != old
+		})
+		eventually(t, 16*time.Second, "the cut-off node alone removed", func() bool {
+			return !seenAnywhere(w, cut) && w.procs["b0"].node.Status().Members == 6
+		})
+	})
+}
+
 // Guards against two holders of one epoch, early takeovers and members rows by old epochs under any mix of pauses,
 // restarts, slow commits, lost answers and outages, and against a system that does not recover from them.
 func TestLeaseHistories(t *testing.T) {
