--- a/internal/balance/eject_test.go
+++ b/internal/balance/eject_test.go
@@ -70,3 +70,24 @@
 		assert.Assert(t, got > 0, "the member was never used")
 	})
 }
+
+// Guards against a service left with mostly ejected members after others drained, and against slow or failing majorities
+// that are ejected beyond a third.
+func TestAtMostAThirdStaysEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(3, 12).Draw(t, "members")
+		b := newBed(sameZoneMembers(size), nil)
+		for _, peer := range b.pool.peers {
+			peer.health = health{answers: minAnswers, latency: 0.01}
+		}
+		for _, peer := range b.pool.peers {
+			peer.health = health{answers: minAnswers, latency: 0.01, failures: 1}
+			b.pool.review(peer, b.now)
+		}
+		ejected, members := b.pool.ejected()
+		assert.Equal(t, ejected, members/3)
+		b.pool.Update(sameZoneMembers(rapid.IntRange(1, size).Draw(t, "left")))
+		ejected, members = b.pool.ejected()
+		assert.Assert(t, 3*ejected <= members, "%d of %d ejected", ejected, members)
+	})
+}
--- a/internal/balance/pool_test.go
+++ b/internal/balance/pool_test.go
@@ -214,6 +214,40 @@
 	}
 }
 
+// Guards against an overload of the few members that look good when most look bad.
+func TestSpreadsWhenMostLookBad(t *testing.T) {
+	b := newBed(sameZoneMembers(6), nil)
+	good := 0
+	for range 600 {
+		chosen := b.answer(t, func(id string) time.Duration {
+			if id < "m04@1" {
+				return -1
+			}
+			return time.Millisecond
+		})
+		if chosen >= "m04@1" {
+			good++
+		}
+	}
+	assert.Assert(t, good < 400, "2 of 6 members got %d of 600 calls", good)
+}
+
+// Guards against more calls to a straggler that has not answered yet.
+func TestOverdueAttemptRepels(t *testing.T) {
+	b := newBed(sameZoneMembers(2), nil)
+	for range 50 {
+		b.answer(t, func(string) time.Duration { return 10 * time.Millisecond })
+	}
+	late, err := b.pool.Pick(Request{})
+	assert.NilError(t, err)
+	b.now = b.now.Add(100 * time.Millisecond)
+	for range 5 {
+		other, err := b.pool.Pick(Request{})
+		assert.NilError(t, err)
+		assert.Assert(t, other.Member.ID != late.Member.ID)
+	}
+}
+
 // Guards against calls that leave the zone or cross the paid link without a gain or without room on the link.
 func TestLocality(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
