--- a/internal/balance/policies_test.go
+++ b/internal/balance/policies_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
 )
 
 var baselines = map[string]func(s *sim, seed uint64) Balancer{
@@ -69,3 +70,17 @@
 		assert.Assert(t, pool.failed < random.failed)
 	}
 }
+
+// BenchmarkPoolPick measures a pick and its result with the members of a typical service.
+func BenchmarkPoolPick(b *testing.B) {
+	pool := NewPool(Config{Service: "s", Self: member(0, "a1", "a"), Seed: 1})
+	pool.Update(sameZoneMembers(17))
+	sample := wire.LoadSample{InFlight: 5, Latency: 25e6}
+	b.RunParallel(func(each *testing.PB) {
+		for each.Next() {
+			if pick, err := pool.Pick(Request{}); err == nil {
+				pick.Done(Result{Latency: 25e6, Sample: &sample})
+			}
+		}
+	})
+}
--- a/internal/balance/pool_test.go
+++ b/internal/balance/pool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -18,6 +20,14 @@
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
+// TestMain fixes the seed of the properties; the command line can set another.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // bed is a pool with a clock that the test moves.
 type bed struct {
 	pool *Pool
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -8,6 +10,14 @@
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the properties; the command line can set another.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 type spent struct {
 	at    time.Time
 	link  Link
