--- a/bench/load/entry.go
+++ b/bench/load/entry.go
@@ -109,7 +109,7 @@
 
 func (c *oneCall) start(ctx context.Context, pick balance.Pick, classes chan<- balance.Class) {
 	c.tried = append(c.tried, pick.Member.ID)
-	c.far = c.far || pick.Member.Region != c.entry.place.region
+	c.far = c.far || pick.Member.Region != c.entry.place.Region
 	go func() {
 		result := c.entry.send(ctx, pick, c.work)
 		if result.Class == balance.OK {
@@ -127,7 +127,7 @@
 		return balance.Result{Class: balance.Failed, Reason: failure.BadRequest}
 	}
 	request.Header.Set(workHeader, strconv.FormatFloat(work, 'g', 6, 64))
-	request.Header.Set(regionHeader, e.place.region)
+	request.Header.Set(regionHeader, e.place.Region)
 	began := time.Now()
 	answer, err := e.client.Do(request)
 	switch {
--- a/bench/load/fleet.go
+++ b/bench/load/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/acacialock/acacialock/internal/balance"
 	"github.com/acacialock/acacialock/internal/budget"
 	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/testnet"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -19,12 +19,12 @@
 var nodeLimits = budget.Limits{RegionBytesPerSecond: 14000, LinkBytesPerSecond: 1000}
 
 // places of workers and entry nodes, in the order in which they are filled.
-var places = []place{{"a1", "a"}, {"b1", "b"}, {"a2", "a"}, {"b2", "b"}}
+var places = []testnet.Place{{Zone: "a1", Region: "a"}, {Zone: "b1", Region: "b"}, {Zone: "a2", Region: "a"}, {Zone: "b2", Region: "b"}}
 
 // oneRegion is used with one region.
-var oneRegion = []place{{"a1", "a"}, {"a2", "a"}}
+var oneRegion = []testnet.Place{{Zone: "a1", Region: "a"}, {Zone: "a2", Region: "a"}}
 
-func placeOf(i, regions int) place {
+func placeOf(i, regions int) testnet.Place {
 	if regions == 1 {
 		return oneRegion[i%len(oneRegion)]
 	}
@@ -33,9 +33,10 @@
 
 // service is the targets of one service in one slice.
 type service struct {
-	name  string
-	size  int
-	began time.Time
+	network *testnet.Network
+	name    string
+	size    int
+	began   time.Time
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -58,13 +59,14 @@
 // start adds a target in the i-th place.
 func (s *service) start(i int, name string, acts *behaviour, options *options) error {
 	at := placeOf(i, options.Regions)
-	member := cluster.Member{ID: name, Service: s.name, Zone: at.zone, Region: at.region}
+	member := cluster.Member{ID: name, Service: s.name, Zone: at.Zone, Region: at.Region}
 	started, err := startTarget(member, acts, s.began, options)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.network.Put(started.member.PeerAddr, at)
 	s.targets[name] = started
 	s.members = append(s.members, started.member)
 	return nil
@@ -94,7 +96,7 @@
 
 // entry is one entry node: its own balancers, budgets and connections.
 type entry struct {
-	place     place
+	place     testnet.Place
 	balancers map[string]balance.Balancer
 	retries   map[string]*budget.Ratio
 	hedges    map[string]*hedger
@@ -103,7 +105,7 @@
 	transport *http.Transport
 }
 
-func newEntry(at place, services []*service, paid *link, options *options) *entry {
+func newEntry(at testnet.Place, services []*service, network *testnet.Network, options *options) *entry {
 	e := &entry{
 		place:     at,
 		balancers: map[string]balance.Balancer{},
@@ -112,9 +114,7 @@
 		bytes:     budget.NewBytes(nodeLimits, nil),
 	}
 	e.transport = &http.Transport{MaxIdleConnsPerHost: 260, DisableCompression: true}
-	e.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return dialer{at, placeOfAddress(services, address), paid}.dial(ctx, network, address)
-	}
+	e.transport.DialContext = network.Dialer(at)
 	e.client = &http.Client{Transport: e.transport, Timeout: callTimeout}
 	for _, s := range services {
 		e.retries[s.name] = budget.NewRatio(10, nil)
@@ -123,17 +123,6 @@
 	return e
 }
 
-func placeOfAddress(services []*service, address string) place {
-	for _, s := range services {
-		for _, member := range s.current() {
-			if member.PeerAddr == address {
-				return place{member.Zone, member.Region}
-			}
-		}
-	}
-	return place{}
-}
-
 // probe implements balance.ProbeFunc.
 func (e *entry) probe(ctx context.Context, member cluster.Member) (wire.LoadSample, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+member.PeerAddr+"/probe", nil)
@@ -180,19 +169,19 @@
 func newBalancer(policy string, e *entry, s *service, options *options, seed uint64) (balance.Balancer, error) {
 	switch policy {
 	case "random":
-		return local{balance.NewRandom(s.name, seed), e.place.region}, nil
+		return local{balance.NewRandom(s.name, seed), e.place.Region}, nil
 	case "round-robin":
-		return local{balance.NewRoundRobin(s.name, seed), e.place.region}, nil
+		return local{balance.NewRoundRobin(s.name, seed), e.place.Region}, nil
 	case "least-in-flight":
-		return local{balance.NewLeastInFlight(s.name, seed), e.place.region}, nil
+		return local{balance.NewLeastInFlight(s.name, seed), e.place.Region}, nil
 	case "two-choices":
-		return local{balance.NewTwoChoices(s.name, seed), e.place.region}, nil
+		return local{balance.NewTwoChoices(s.name, seed), e.place.Region}, nil
 	case "pool":
 		return balance.NewPool(balance.Config{
 			Service: s.name,
-			Self:    cluster.Member{Zone: e.place.zone, Region: e.place.region},
+			Self:    cluster.Member{Zone: e.place.Zone, Region: e.place.Region},
 			Slots:   targetSlots, Queue: options.Queue, Probe: e.probe, Bytes: e.bytes, Seed: seed,
-			ZoneDelay: zoneDelay, RegionDelay: regionDelay,
+			ZoneDelay: testnet.ZoneDelay, RegionDelay: testnet.RegionDelay,
 		}), nil
 	case "queues", "perfect":
 		return &perfect{queuesOnly: policy == "queues", lock: &s.bound, from: e.place, targets: s.target}, nil
--- a/bench/load/perfect.go
+++ b/bench/load/perfect.go
@@ -7,6 +7,7 @@
 	"github.com/acacialock/acacialock/internal/balance"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/testnet"
 )
 
 // perfect is a bound: at each pick it knows, without delay, the number of calls at or on the way to every target
@@ -16,7 +17,7 @@
 type perfect struct {
 	queuesOnly bool
 	lock       *sync.Mutex
-	from       place
+	from       testnet.Place
 	targets    func(id string) *target
 	members    []cluster.Member
 }
@@ -67,7 +68,7 @@
 		mean, speed = mean*t.acts.slow(now), t.acts.speed(now)
 	}
 	ahead := int(t.sending.Load())
-	cost := 2 * delayBetween(p.from, t.place)
+	cost := 2 * testnet.Delay(p.from, t.place)
 	if ahead < targetSlots && !p.queuesOnly {
 		return cost + time.Duration(mean*speed)
 	}
--- a/bench/load/slice.go
+++ b/bench/load/slice.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/testnet"
 )
 
 const (
@@ -66,11 +67,11 @@
 func entryShares(size int, entries []*entry, options *options) []int {
 	byRegion := map[string][]int{}
 	for i, e := range entries {
-		byRegion[e.place.region] = append(byRegion[e.place.region], i)
+		byRegion[e.place.Region] = append(byRegion[e.place.Region], i)
 	}
 	var shares []int
 	for i := range size {
-		local := byRegion[placeOf(i, options.Regions).region]
+		local := byRegion[placeOf(i, options.Regions).Region]
 		for j := range len(entries) * len(entries) {
 			if len(local) == 0 {
 				shares = append(shares, j%len(entries))
@@ -91,7 +92,7 @@
 	services []*service
 	entries  []*entry
 	results  []*measured
-	paid     link
+	network  *testnet.Network
 }
 
 // runSettled repeats a slice in which the machine was disturbed.
@@ -114,7 +115,7 @@
 
 // runSlice returns one result for each size.
 func runSlice(options *options, policy string, round int) ([]*measured, error) {
-	s := &slice{options: options, policy: policy, round: round, seed: options.Seed + uint64(round)*1000}
+	s := &slice{network: testnet.New(), options: options, policy: policy, round: round, seed: options.Seed + uint64(round)*1000}
 	defer s.close()
 	if err := s.build(); err != nil {
 		return nil, err
@@ -135,9 +136,9 @@
 
 func (s *slice) build() error {
 	began := time.Now()
-	var workers []place
+	var workers []testnet.Place
 	for _, size := range s.options.Sizes {
-		built := &service{name: fmt.Sprintf("s%d", size), size: size, began: began, targets: map[string]*target{}}
+		built := &service{name: fmt.Sprintf("s%d", size), size: size, began: began, network: s.network, targets: map[string]*target{}}
 		s.services = append(s.services, built)
 		s.results = append(s.results, newMeasured(s.policy, size))
 		for i := range size {
@@ -162,8 +163,8 @@
 	return nil
 }
 
-func (s *slice) addEntry(i int, at place) error {
-	e := newEntry(at, s.services, &s.paid, s.options)
+func (s *slice) addEntry(i int, at testnet.Place) error {
+	e := newEntry(at, s.services, s.network, s.options)
 	s.entries = append(s.entries, e)
 	for _, of := range s.services {
 		balancer, err := newBalancer(s.policy, e, of, s.options, s.seed+uint64(i)+1)
--- a/bench/load/target.go
+++ b/bench/load/target.go
@@ -13,6 +13,7 @@
 	"github.com/acacialock/acacialock/internal/budget"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/testnet"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -26,7 +27,7 @@
 // target is a fake target with its node: slots, a queue by arrival, load samples and refusals.
 type target struct {
 	member  cluster.Member
-	place   place
+	place   testnet.Place
 	acts    *behaviour
 	began   time.Time
 	mean    time.Duration
@@ -50,7 +51,7 @@
 	}
 	t := &target{
 		member: member, acts: acts, began: began, mean: options.Service, limit: options.Queue,
-		place:   place{member.Zone, member.Region},
+		place:   testnet.Place{Zone: member.Zone, Region: member.Region},
 		bytes:   budget.NewBytes(nodeLimits, nil),
 		service: options.Service.Seconds(),
 	}
@@ -156,7 +157,7 @@
 // report adds the load sample to the answer when the byte budget allows it.
 func (t *target) report(w http.ResponseWriter, r *http.Request) {
 	via := budget.Region
-	if r.Header.Get(regionHeader) != t.place.region {
+	if r.Header.Get(regionHeader) != t.place.Region {
 		via = budget.Paid
 	}
 	text := t.sample().String()
--- a/internal/testnet/network.go
+++ b/internal/testnet/network.go
@@ -130,13 +130,18 @@
 		return from, 0, false
 	}
 	cut := n.cut(from, to) || n.cut(to, from)
+	return to, Delay(from, to), cut
+}
+
+// Delay is the one-way delay between two places.
+func Delay(a, b Place) time.Duration {
 	switch {
-	case from.Region != to.Region:
-		return to, RegionDelay, cut
-	case from.Zone != to.Zone:
-		return to, ZoneDelay, cut
+	case a.Region != b.Region:
+		return RegionDelay
+	case a.Zone != b.Zone:
+		return ZoneDelay
 	default:
-		return to, 0, cut
+		return 0
 	}
 }
 
