--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -104,8 +104,7 @@
 	request.URL.Scheme = "http"
 	request.URL.Host = a.member.PeerAddr
 	prefixPath(request, wire.ForwardPath)
-	removeHeaders(request.Header, hopHeaders)
-	removeHeaders(request.Header, nodeHeaders)
+	prepareHeader(request.Header)
 	header := request.Header
 	header.Set(wire.Service, a.call.service.Name)
 	header.Set(wire.AttemptHeader, a.id.String())
@@ -126,7 +125,7 @@
 	if a.call.body.streamed() {
 		header.Set("Expect", "100-continue") // a refusal then leaves the body unread, for another target
 	}
-	a.call.body.attach(request)
+	a.call.body.attach(request, a.call.idempotent)
 	return request
 }
 
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -40,10 +40,12 @@
 func (b *requestBody) streamed() bool { return b.stream != nil }
 
 // attach sets the body of one send. The reader type hides the bytes from net/http, which else re-sends a request by
-// itself when an idle connection closes.
-func (b *requestBody) attach(request *http.Request) {
+// itself when an idle connection closes; an idempotent one may be.
+func (b *requestBody) attach(request *http.Request, idempotent bool) {
 	request.ContentLength = b.length
 	switch {
+	case b.stream == nil && b.kept == nil && idempotent:
+		request.Body = http.NoBody
 	case b.stream != nil:
 		request.Body = &streamReader{body: b}
 	case b.kept != nil:
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -66,13 +66,21 @@
 	request.URL.Scheme = "http"
 	request.URL.Host = to.PeerAddr
 	prefixPath(request, wire.RelayPath)
-	removeHeaders(request.Header, hopHeaders)
-	removeHeaders(request.Header, nodeHeaders)
+	prepareHeader(request.Header)
 	request.Header.Set(wire.TimeoutMS, strconv.FormatInt(max(c.left().Milliseconds(), 1), 10))
-	c.body.attach(request)
+	c.body.attach(request, c.idempotent)
 	return request
 }
 
+// prepareHeader removes what is not for the next node, and keeps net/http from adding a User-Agent of its own.
+func prepareHeader(header http.Header) {
+	wire.RemoveHopByHop(header)
+	wire.RemoveHeaders(header, nodeHeaders)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""}
+	}
+}
+
 // prefixPath puts a prefix before the request's path, escaped or not.
 func prefixPath(request *http.Request, prefix string) {
 	request.URL.Path = prefix + request.URL.Path
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -16,24 +16,12 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // nodeHeaders are for nodes only.
 var nodeHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
 	wire.RosterVersion, wire.NotAfter,
 }
 
-func removeHeaders(header http.Header, names []string) {
-	for _, name := range names {
-		delete(header, name)
-	}
-}
-
 // stream passes a node's answer on to the caller. When the answer breaks off it aborts the caller's connection, so that
 // a cut answer never looks whole.
 func (h *Handler) stream(w http.ResponseWriter, response *http.Response) {
@@ -56,8 +44,8 @@
 	for name, values := range from {
 		to[name] = values
 	}
-	removeHeaders(to, hopHeaders)
-	removeHeaders(to, nodeHeaders)
+	wire.RemoveHopByHop(to)
+	wire.RemoveHeaders(to, nodeHeaders)
 }
 
 // copyBody flushes after each read when the length is unknown, so that the caller sees a slow answer as it comes.
@@ -107,8 +95,8 @@
 	for _, field := range answer.Header {
 		header.Add(field.Name, field.Value)
 	}
-	removeHeaders(header, hopHeaders)
-	removeHeaders(header, nodeHeaders)
+	wire.RemoveHopByHop(header)
+	wire.RemoveHeaders(header, nodeHeaders)
 	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(int(answer.Status))
 	_, _ = w.Write(answer.Body) // the caller may have gone away; the answer stays kept
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -13,6 +13,7 @@
 
 	"github.com/acacialock/acacialock/internal/attempt"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
 )
 
 // copyBytes is the size of the buffer between the target and the caller.
@@ -29,7 +30,7 @@
 	}
 	given := e.w.Header()
 	copyHeader(given, http.Header(header))
-	remove(given, innerAnswer)
+	wire.RemoveHeaders(given, innerAnswer)
 	e.w.WriteHeader(code)
 	clear(given)
 	return nil
@@ -60,8 +61,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answered = true
-	removeHopByHop(answer.Header)
-	remove(answer.Header, innerAnswer)
+	wire.RemoveHopByHop(answer.Header)
+	wire.RemoveHeaders(answer.Header, innerAnswer)
 	header := e.w.Header()
 	copyHeader(header, answer.Header)
 	announced := slices.Collect(maps.Keys(answer.Trailer))
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -10,12 +9,6 @@
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
-// hopByHop headers belong to one connection (RFC 9110, section 7.6.1, and older names).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // innerRequest headers are for this node and not for the target.
 var innerRequest = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner, wire.RosterVersion,
@@ -25,30 +18,11 @@
 // innerAnswer headers are set by nodes only: with them a target could claim that a request was not run.
 var innerAnswer = []string{wire.Load, wire.Reason, wire.Outcome, wire.TargetDraining}
 
-func removeHopByHop(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(textproto.TrimString(name))
-		}
-	}
-	remove(header, hopByHop)
-}
-
-func remove(header http.Header, names []string) {
-	for _, name := range names {
-		delete(header, name)
-	}
-}
-
 // targetHeader returns the header for the target.
 func targetHeader(received http.Header, deadline, notAfter time.Time) http.Header {
 	header := received.Clone()
-	trailers := strings.Contains(strings.ToLower(received.Get("Te")), "trailers")
-	removeHopByHop(header)
-	remove(header, innerRequest)
-	if trailers {
-		header.Set("Te", "trailers")
-	}
+	wire.RemoveHopByHop(header)
+	wire.RemoveHeaders(header, innerRequest)
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "") // keeps net/http from adding its own
 	}
