keys: go on granting retained keys during a roster change; don't act on a newer version's confirmation

A member now goes on with the keys that it owned in the last activated roster and ever since. The simulation checks in addition that no two members would grant the same key.

--- a/internal/keys/authority.go
+++ b/internal/keys/authority.go
@@ -7,23 +7,44 @@
 
 // authority tracks what lets this member act: confirmations of the table and promises of members.
 type authority struct {
-	alive time.Time            // when the table last showed this member unmarked, at any version
-	held  map[string]time.Time // end of the promises that members gave for the installed version
-	given map[string]time.Time // end of the promises given to members
+	// confirmed holds by roster version when the table last showed it with this member unmarked. The entry of the
+	// installed version counts for older ones too.
+	confirmed map[uint64]time.Time
+	alive     time.Time            // the latest of these, at any version
+	held      map[string]time.Time // end of the promises that members gave for the installed version
+	given     map[string]time.Time // end of the promises given to members
 }
 
 func newAuthority() authority {
-	return authority{held: map[string]time.Time{}, given: map[string]time.Time{}}
+	return authority{confirmed: map[uint64]time.Time{}, held: map[string]time.Time{}, given: map[string]time.Time{}}
 }
 
-func (a *authority) confirm(asOf time.Time) {
+func (a *authority) confirm(version uint64, asOf time.Time) {
+	if asOf.After(a.confirmed[version]) {
+		a.confirmed[version] = asOf
+	}
 	if asOf.After(a.alive) {
 		a.alive = asOf
 	}
 }
 
-// installed forgets the promises that counted for an older version.
-func (a *authority) installed() { a.held = map[string]time.Time{} }
+// installed carries the confirmations of older versions over to the installed one: a mark on this member would have been
+// committed after them, and the member's removal waits for G after the mark. It forgets the older promises.
+//
+// A confirmation of a newer version does not count before that version is installed, since the member may have been lost
+// and have joined again in between.
+func (a *authority) installed(version uint64) {
+	a.held = map[string]time.Time{}
+	for older, asOf := range a.confirmed {
+		if older >= version {
+			continue
+		}
+		if asOf.After(a.confirmed[version]) {
+			a.confirmed[version] = asOf
+		}
+		delete(a.confirmed, older)
+	}
+}
 
 // until is the end of the authority at the installed roster.
 func (a *authority) until(cfg *Config, roster *Roster) time.Time {
@@ -31,10 +52,8 @@
 		return time.Time{}
 	}
 	end := a.promisedUntil(cfg, roster)
-	// A confirmation of an older version counts too: a mark on this member would have been committed after it, and the
-	// member's removal waits for G after the mark.
-	if confirmed := a.alive.Add(cfg.G); !a.alive.IsZero() && confirmed.After(end) {
-		end = confirmed
+	if confirmed, ok := a.confirmed[roster.Version]; ok && confirmed.Add(cfg.G).After(end) {
+		end = confirmed.Add(cfg.G)
 	}
 	return end
 }
--- a/internal/keys/gate.go
+++ b/internal/keys/gate.go
@@ -16,7 +16,34 @@
 	service   string
 	roster    *Roster // installed; nil before the first
 	activated bool
-	until     time.Time // end of the member's authority
+	// earlier holds, while the roster is not activated, the last activated one and those installed since.
+	earlier []*Roster
+	until   time.Time // end of the member's authority
+}
+
+// install takes a roster of another version. The caller holds the write lock.
+func (g *gate) install(roster *Roster) {
+	if g.activated {
+		g.earlier = nil
+	}
+	if g.activated || len(g.earlier) > 0 {
+		g.earlier = append(g.earlier, g.roster)
+	}
+	g.roster = roster
+	g.activated = false
+	g.until = time.Time{}
+}
+
+// retains reports whether this member has owned the key in the last roster that it activated and ever since. Then it
+// has all records of the key without collecting: another member could have granted the key only after collecting from
+// this one at a version that this one had installed.
+func (g *gate) retains(key string) bool {
+	for _, roster := range g.earlier {
+		if owner := roster.Owner(key); owner == nil || owner.ID != g.self {
+			return false
+		}
+	}
+	return len(g.earlier) > 0
 }
 
 // admit checks that this member may act at the version. The caller holds the read lock.
@@ -77,7 +104,7 @@
 	if owner := g.roster.Owner(req.Key); owner == nil || owner.ID != g.self {
 		return failure.New(failure.KeyRosterMismatch, failure.NotRun, "node %s does not own the key", g.self)
 	}
-	if !g.activated {
+	if !g.activated && !g.retains(req.Key) {
 		return failure.New(failure.KeyOwnerNotReady, failure.NotRun, "node %s is still collecting records of version %d", g.self, g.roster.Version)
 	}
 	runner := g.roster.member(req.Runner)
--- a/internal/keys/machine.go
+++ b/internal/keys/machine.go
@@ -202,18 +202,17 @@
 		return
 	}
 	m.gate.mu.Lock()
-	m.gate.roster = m.known
 	if newVersion {
-		m.gate.activated = false
-		m.gate.until = time.Time{}
+		m.gate.install(m.known)
 	}
+	m.gate.roster = m.known
 	m.gate.mu.Unlock()
 	m.installed = m.known
 	if newVersion {
 		m.activated = false
 		m.collected = map[string]bool{}
 		m.installAt = now
-		m.authority.installed()
+		m.authority.installed(m.known.Version)
 	}
 	if self := m.known.member(m.cfg.Self.ID); self != nil && self.State == StateActive {
 		m.closing = false // it joined again
@@ -241,6 +240,7 @@
 	m.activated = true
 	m.gate.mu.Lock()
 	m.gate.activated = true
+	m.gate.earlier = nil
 	m.gate.mu.Unlock()
 }
 
@@ -271,7 +271,7 @@
 	if self == nil || self.Suspect != 0 {
 		return
 	}
-	m.authority.confirm(asOf)
+	m.authority.confirm(m.known.Version, asOf)
 	m.publish(now)
 }
 
--- a/internal/keys/plan.go
+++ b/internal/keys/plan.go
@@ -79,7 +79,8 @@
 func (m *machine) planRead(now time.Time) {
 	stale := m.known == nil || !m.row.read
 	if m.known != nil {
-		stale = stale || now.Sub(m.authority.alive) > m.patience() && now.Sub(m.row.at) > m.patience()
+		confirmed := m.authority.confirmed[m.known.Version]
+		stale = stale || now.Sub(confirmed) > m.patience() && now.Sub(m.row.at) > m.patience()
 		stale = stale || m.row.commit < m.known.Commit && len(m.needs) != 0
 	}
 	if stale || m.wantRow {
@@ -96,7 +97,7 @@
 	if m.installed == nil || m.installed.member(m.cfg.Self.ID) == nil || m.closing {
 		return
 	}
-	if now.Sub(m.authority.alive) < m.patience() {
+	if now.Sub(m.authority.confirmed[m.installed.Version]) < m.patience() {
 		return
 	}
 	for _, member := range m.installed.Members {
--- a/internal/keys/sim_test.go
+++ b/internal/keys/sim_test.go
@@ -301,6 +301,7 @@
 // checkAuthority fails when a node still has authority at an older roster version than one that acts already. Keys that
 // two lost members may have run are refused besides, so double runs alone would not show most faults of authority.
 func (s *sim) checkAuthority(p *proc) {
+	s.checkOwners()
 	if !p.activated() {
 		return
 	}
@@ -311,6 +312,34 @@
 	}
 }
 
+// sampleKeys are checked for two members that both would grant them.
+var sampleKeys = []string{"sample-1", "sample-2", "sample-3", "sample-4", "sample-5", "sample-6", "sample-7", "sample-8"}
+
+// checkOwners finds two members that would both grant a key, whether activated or retaining it.
+func (s *sim) checkOwners() {
+	for _, key := range sampleKeys {
+		granting := ""
+		for _, n := range s.nodes {
+			q := n.proc
+			if q == nil || !q.grants(key) {
+				continue
+			}
+			if granting != "" {
+				s.violation = fmt.Sprintf("%s and %s both grant key %s", granting, q.id, key)
+			}
+			granting = q.id
+		}
+	}
+}
+
+func (p *proc) grants(key string) bool {
+	if !p.hasAuthority() || !p.gate.activated && !p.gate.retains(key) {
+		return false
+	}
+	owner := p.gate.roster.Owner(key)
+	return owner != nil && owner.ID == p.id
+}
+
 func (p *proc) hasAuthority() bool { return p.gate.roster != nil && p.node.Now().Before(p.gate.until) }
 
 func (p *proc) activated() bool { return p.hasAuthority() && p.gate.activated }
