--- a/internal/keys/authority_test.go
+++ b/internal/keys/authority_test.go
@@ -14,8 +14,8 @@
 func TestConfirmationCountsForLaterVersionsOnly(t *testing.T) {
 	cfg := &Config{Self: cluster.Member{ID: "n3@4"}}
 	cfg.G, cfg.Gmax = simG, simGmax
-	older := &Roster{Version: 3, Members: []Member{{ID: "n3@4"}, {ID: "n2@3"}}}
-	newer := &Roster{Version: 5, Members: []Member{{ID: "n3@4"}, {ID: "n1@2"}}}
+	older := &Roster{Version: 3, Members: []Member{{ID: "n2@3"}, {ID: "n3@4"}}}
+	newer := &Roster{Version: 5, Members: []Member{{ID: "n1@2"}, {ID: "n3@4"}}}
 	now := time.Unix(1000, 0)
 
 	a := newAuthority()
