--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -12,13 +12,15 @@
 	show go run ./bench/overhead --duration 10s --rounds 2
 	show go test ./internal/daemon -run '^$' -bench Call -benchtime 2s -cpu 4
 	show go test ./internal/keys ./internal/attempt ./internal/balance -run '^$' -bench . -benchtime 0.5s
-	show go run ./bench/failures --only kill --after 12s
-	show go run ./bench/failures --only crashing --after 8s
+	show go run ./bench/overload --duration 5s
+	show go run ./bench/failures --only "node killed" --after 18s
+	show go run ./bench/failures --only "crashing" --after 6s
 }
 full() {
 	show go run ./bench/overhead --duration 20s --rounds 5
 	show go test ./internal/daemon -run '^$' -bench Call -benchtime 5s -cpu 4
 	show go test ./... -run '^$' -bench . -benchtime 2s
+	show go run ./bench/overload
 	show go run ./bench/load
 	show go run ./bench/control -members 10,30,100,300
 	show go run ./bench/failures --outage 60s --after 75s
