--- a/bench/failures/main.go
+++ b/bench/failures/main.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -125,8 +127,26 @@
 	r := testload.Verify(counts, orders)
 	fmt.Printf("%-24s %-8s %6d  %9d  %7d  %7d  %9d  %15d  %v\n", s.name, kind, r.Orders, r.NotRun+r.Unknown, r.NotRun, r.Unknown,
 		r.RanTwice, r.NotRunButRan, testload.Recovery(fault, orders).Round(10*time.Millisecond))
+	if reasons := lastTries(orders); reasons != "" {
+		fmt.Printf("  last tries without an answer: %s\n", reasons)
+	}
 	if len(r.Violations) > 0 {
 		return fmt.Errorf("%d promises broken, the first: %s", len(r.Violations), r.Violations[0])
 	}
 	return nil
 }
+
+// lastTries counts how the orders without an answer ended.
+func lastTries(orders []*testload.Order) string {
+	counts := map[string]int{}
+	for _, one := range orders {
+		if !one.Answered {
+			counts[one.Last]++
+		}
+	}
+	var parts []string
+	for _, last := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d x %q", counts[last], last))
+	}
+	return strings.Join(parts, ", ")
+}
