Replay streamed bodies up to 64 KiB; pick a member again after a silent connection

Orders in flight at a crash become suspects, so a target's node reads the body of the next ones to compare it, and refuses only then when its target is dead; a chunked body that was read could not be sent again. It is kept up to 64 KiB now. Ruled out: the retry budget (such refusals are exempt) and the limit of sends.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -45,6 +45,7 @@
 	response *http.Response
 	kept     *rpc.Answer
 	failed   *failure.Error
+	member   string // id of the member that the attempt was sent to
 	sample   *wire.LoadSample
 	latency  time.Duration // to the first byte
 }
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -2,39 +2,50 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
 // maxReplayBytes is the largest request body that is kept for a second send.
 const maxReplayBytes = 64 << 10
 
+// errBodySuperseded ends the reader of a send that was followed by another.
+var errBodySuperseded = errors.New("the request body is read by a later send")
+
 // requestBody gives each send of a call its own reader of the caller's body.
 type requestBody struct {
-	kept   []byte        // whole body, when it is small
-	stream io.ReadCloser // caller's body, when it is not kept
+	stream io.ReadCloser // caller's body, when it was not read before the first send
 	length int64         // -1: unknown
-	read   atomic.Bool   // some of stream was read
+
+	current  atomic.Pointer[streamReader] // reader of the latest send
+	tooLarge atomic.Bool                  // more was read of stream than is kept
+
+	mu   sync.Mutex
+	kept []byte // what was read so far
+	err  error  // end of stream
 }
 
-// newRequestBody keeps a body of known small length and streams every other one.
+// newRequestBody reads a body of known small length at once. Every other one is streamed, and kept up to the limit as it
+// is read.
 func newRequestBody(request *http.Request) (*requestBody, error) {
 	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
+	body := &requestBody{length: request.ContentLength}
 	if request.ContentLength < 0 || request.ContentLength > maxReplayBytes {
-		return &requestBody{stream: request.Body, length: request.ContentLength}, nil
+		body.stream = request.Body
+		return body, nil
 	}
-	kept := make([]byte, request.ContentLength)
-	if _, err := io.ReadFull(request.Body, kept); err != nil {
-		return nil, err
-	}
-	return &requestBody{kept: kept, length: request.ContentLength}, nil
+	body.kept = make([]byte, request.ContentLength)
+	_, err := io.ReadFull(request.Body, body.kept)
+	return body, err
 }
 
 // replayable reports whether the body can be sent (again) from its first byte.
-func (b *requestBody) replayable() bool { return b.stream == nil || !b.read.Load() }
+func (b *requestBody) replayable() bool { return !b.tooLarge.Load() }
 
 // streamed reports whether the body comes straight from the caller.
 func (b *requestBody) streamed() bool { return b.stream != nil }
@@ -44,24 +55,62 @@
 func (b *requestBody) attach(request *http.Request, idempotent bool) {
 	request.ContentLength = b.length
 	switch {
-	case b.stream == nil && b.kept == nil && idempotent:
-		request.Body = http.NoBody
 	case b.stream != nil:
-		request.Body = &streamReader{body: b}
-	case b.kept != nil:
-		request.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(b.kept)})
+		reader := &streamReader{body: b}
+		b.current.Store(reader)
+		request.Body = reader
+	case b.length == 0 && idempotent:
+		request.Body = http.NoBody
 	default:
-		request.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(nil)})
+		request.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(b.kept)})
 	}
 }
 
-// streamReader reads the caller's body and notes that reading began. Closing it leaves the caller's body open, so that
-// a send refused before its body was read can be repeated.
-type streamReader struct{ body *requestBody }
+// streamReader is one send's reader: it gives what earlier sends have read, then reads on.
+type streamReader struct {
+	body   *requestBody
+	offset int
+}
 
+// Read implements io.Reader. An earlier send may still be inside Read when the next one begins; what it reads is kept for
+// the next.
 func (r *streamReader) Read(buffer []byte) (int, error) {
-	r.body.read.Store(true)
-	return r.body.stream.Read(buffer)
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.offset < len(b.kept) {
+		n := copy(buffer, b.kept[r.offset:])
+		r.offset += n
+		return n, nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	if b.current.Load() != r {
+		return 0, errBodySuperseded
+	}
+	n, err := b.stream.Read(buffer)
+	b.keep(buffer[:n])
+	r.offset += n
+	b.err = err
+	if b.tooLarge.Load() && b.current.Load() != r {
+		b.err = errBodySuperseded // the bytes are lost for the later send
+	}
+	return n, err
+}
+
+// keep adds bytes for a later send while there is room. The lock is held.
+func (b *requestBody) keep(data []byte) {
+	if b.tooLarge.Load() {
+		return
+	}
+	if len(b.kept)+len(data) > maxReplayBytes {
+		b.tooLarge.Store(true)
+		b.kept = nil
+		return
+	}
+	b.kept = append(b.kept, data...)
 }
 
+// Close leaves the caller's body open for the next send.
 func (r *streamReader) Close() error { return nil }
--- /dev/null
+++ b/internal/entry/body_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a streamed body that a refused send has read in part and that the next send lacks: a target's node reads
+// a body to compare it with crash suspects and may refuse after that. Past the limit no other send may be made.
+func TestBodyReadInPartIsReplayedWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		content := bytes.Repeat([]byte("0123456789"), rapid.IntRange(1, 2*maxReplayBytes/10).Draw(t, "tens"))
+		request, err := http.NewRequest(http.MethodPost, "http://orders/", io.MultiReader(bytes.NewReader(content)))
+		assert.NilError(t, err)
+		request.ContentLength = -1
+		body, err := newRequestBody(request)
+		assert.NilError(t, err)
+		for range rapid.IntRange(1, 3).Draw(t, "refused sends") {
+			send := &http.Request{}
+			body.attach(send, false)
+			part := rapid.IntRange(0, maxReplayBytes).Draw(t, "bytes read")
+			_, err := io.CopyN(io.Discard, send.Body, int64(part))
+			assert.Assert(t, err == nil || part > len(content))
+			if !body.replayable() {
+				assert.Assert(t, len(content) > maxReplayBytes-copyBufferBytes, "a body of %d bytes was given up", len(content))
+				return
+			}
+		}
+		last := &http.Request{}
+		body.attach(last, false)
+		got, err := io.ReadAll(last.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, content), "the last send got %d of %d bytes", len(got), len(content))
+	})
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -103,6 +103,7 @@
 		report.Class, report.Reason = classify(ended.failed), ended.failed.Reason
 	}
 	pick.Done(report)
+	ended.member = pick.Member.ID
 	return ended
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/balance"
@@ -39,6 +40,7 @@
 				closeLate(ended, pending)
 				return one
 			}
+			c.forgetSilent(one)
 			if h.mayRepeat(c, policy, one.failed) && h.launch(ctx, c, policy, ended) == nil {
 				pending++
 			}
@@ -122,6 +124,14 @@
 	return true
 }
 
+// forgetSilent lets a member be picked again after a silent connection: the next send uses a new one. Else a stall of
+// the connections to all targets would leave none to choose.
+func (c *call) forgetSilent(ended result) {
+	if ended.failed.Reason == failure.ConnectionSilent {
+		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == ended.member })
+	}
+}
+
 // reachedNoTarget reports a failure that put no load on any target, so that the next send is no extra load. Such sends
 // don't draw on the retry budget: a stall of all connections or a restart would else exhaust it at once. maxSends
 // bounds them.
