Say unknown for a keyed call that is refused before its key was looked up

A caller that repeats a key and is told not-run takes its purchase for not run, but no-target, fenced, wrong-service and no-service-list came with not-run although the key's owner had not been asked, and the first call may have run. They come with unknown now; key-store-full and key-reused, which the owner decides, keep not-run.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -58,6 +58,9 @@
 	h.config.Metrics.Counter("entry.calls").Inc(1)
 	c, failed := h.newCall(request)
 	if failed != nil {
+		if failed.Reason == failure.NoServiceList && request.Header.Get(wire.IdempotencyKey) != "" {
+			failed = undecided(failed)
+		}
 		h.refuse(w, failed)
 		return
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -50,7 +50,7 @@
 	}
 	pick, err := k.pick(roster)
 	if err != nil {
-		return result{failed: asFailure(err)}, true
+		return k.noRunner(asFailure(err)), true
 	}
 	id := wire.NewAttemptID()
 	grant, err := k.handler.config.Keys.Claim(ctx, keys.ClaimArgs{
@@ -92,17 +92,30 @@
 	return k.policy.balancer.Pick(balance.Request{Exclude: exclude, Region: k.call.service.HomeRegion})
 }
 
-// refusedClaim answers a claim that the owner did not decide. Nothing of this call ran, but an earlier call with the
-// same key may have, so the outcome is unknown unless the owner has looked the key up.
+// refusedClaim answers a claim that was refused. Nothing of this call ran, but an earlier call with the same key may
+// have, so the outcome is unknown unless the owner has looked the key up.
 func (k *keyedCall) refusedClaim(failed *failure.Error) result {
 	switch failed.Reason {
-	case failure.KeyOwnerGone, failure.KeyOwnerNotReady, failure.KeyRosterMismatch, failure.KeyAuthorityLapsed:
-		return result{failed: failure.Wrap(failed, failed.Reason, failure.Unknown, "the key's owner can't tell whether an earlier call with the key ran")}
-	default:
+	case failure.KeyStoreFull, failure.KeyReused:
 		return result{failed: failed}
+	default:
+		return result{failed: undecided(failed)}
 	}
 }
 
+// noRunner answers a call for which no target can be chosen. Without an earlier grant the owner was not asked.
+func (k *keyedCall) noRunner(failed *failure.Error) result {
+	if k.last != nil {
+		return result{failed: k.last}
+	}
+	return result{failed: undecided(failed)}
+}
+
+// undecided turns a refusal from before the key was looked up into one with the outcome unknown.
+func undecided(failed *failure.Error) *failure.Error {
+	return failure.Wrap(failed, failed.Reason, failure.Unknown, "the key's owner did not tell whether an earlier call with the key ran")
+}
+
 func (k *keyedCall) pause(ctx context.Context) {
 	timer := time.NewTimer(arrivalPause)
 	defer timer.Stop()
