--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/acacialock/acacialock/internal/daemon"
 	"github.com/acacialock/acacialock/internal/settings"
+	"github.com/acacialock/acacialock/internal/version"
 )
 
 // Exit codes.
@@ -22,8 +23,6 @@
 	exitUsage  = 2 // bad command line or settings
 )
 
-var version = "dev" // set by the linker
-
 type arguments struct {
 	Config string `arg:"--config,required" placeholder:"FILE" help:"settings file (TOML)"`
 	Check  bool   `arg:"--check" help:"check the settings and exit"`
@@ -31,7 +30,7 @@
 }
 
 // Version implements the --version flag of go-arg.
-func (arguments) Version() string { return "acacialockd " + version }
+func (arguments) Version() string { return "acacialockd " + version.Version }
 
 // Description implements the help text of go-arg.
 func (arguments) Description() string {
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/version"
 )
 
 // arguments is the command line.
@@ -81,6 +82,9 @@
 	return nil
 }
 
+// Version implements the --version flag of go-arg.
+func (arguments) Version() string { return "acacialock " + version.Version }
+
 // Main runs the command with its arguments and returns the exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var parsed arguments
@@ -90,6 +94,10 @@
 		return ExitFailed
 	}
 	err = parser.Parse(args)
+	if errors.Is(err, arg.ErrVersion) {
+		fmt.Fprintln(stdout, parsed.Version())
+		return ExitOK
+	}
 	if errors.Is(err, arg.ErrHelp) {
 		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...) // the names come from the parser
 		return ExitOK
--- a/internal/operator/zones_test.go
+++ b/internal/operator/zones_test.go
@@ -102,6 +102,7 @@
 		want string // part of stdout
 	}{
 		{"--help", ExitOK, "Exit codes:"},
+		{"--version", ExitOK, "acacialock "},
 		{"", ExitBadInput, ""},
 		{"replace " + good, ExitBadInput, ""},
 		{"--platform nowhere get", ExitBadInput, ""},
