--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -82,11 +82,13 @@
 	return nil
 }
 
-// Version implements the --version flag of go-arg.
-func (arguments) Version() string { return "acacialock " + version.Version }
-
 // Main runs the command with its arguments and returns the exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 1 && args[0] == "--version" {
+		// go-arg's own flag would hide the option of that name that get has.
+		fmt.Fprintln(stdout, "acacialock "+version.Version)
+		return ExitOK
+	}
 	var parsed arguments
 	parser, err := arg.NewParser(arg.Config{Program: "acacialock"}, &parsed)
 	if err != nil {
@@ -94,10 +96,6 @@
 		return ExitFailed
 	}
 	err = parser.Parse(args)
-	if errors.Is(err, arg.ErrVersion) {
-		fmt.Fprintln(stdout, parsed.Version())
-		return ExitOK
-	}
 	if errors.Is(err, arg.ErrHelp) {
 		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...) // the names come from the parser
 		return ExitOK
--- a/internal/operator/zones_test.go
+++ b/internal/operator/zones_test.go
@@ -117,6 +117,7 @@
 		{"apply " + other + " --expect 0 --output json", ExitConflict, `"kind": "conflict"`},
 		{"diff " + other, ExitOK, "+timeout = \"1002ms\""},
 		{"get", ExitOK, string(list(1))},
+		{"get --version 1", ExitOK, string(list(1))},
 		{"history --output json", ExitOK, `"version": 1`},
 		{"status", ExitOK, "service list version 1"},
 	}
