Remove two failure reasons that nothing gives

Read-through: a denied retry answers with the reason of the failed attempt and is counted under retry.denied.*, so retry-budget-exhausted and body-not-replayable were never sent.

--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -14,8 +14,6 @@
 	NoTarget            Reason = "no-target"
 	DepthExceeded       Reason = "depth-exceeded"
 	DeadlineExceeded    Reason = "deadline-exceeded"
-	RetryBudget         Reason = "retry-budget-exhausted"
-	BodyNotReplayable   Reason = "body-not-replayable"
 	ConnectFailed       Reason = "connect-failed"
 	ConnectionLost      Reason = "connection-lost"
 	ConnectionSilent    Reason = "connection-silent"
