--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -13,8 +13,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/daemon"
+	"github.com/acacialock/acacialock/internal/node"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/version"
+	"github.com/acacialock/acacialock/platform"
 )
 
 // Exit codes.
@@ -24,7 +26,7 @@
 )
 
 type arguments struct {
-	Config string `arg:"--config,required" placeholder:"FILE" help:"settings file (TOML)"`
+	Config string `arg:"--config,required,env:ACACIALOCK_NODE_FILE" placeholder:"FILE" help:"settings file (TOML)"`
 	Check  bool   `arg:"--check" help:"check the settings and exit"`
 	Level  int    `arg:"--v" default:"0" help:"log level"`
 }
@@ -51,28 +53,65 @@
 		fmt.Printf("%s: ok\n", args.Config)
 		return 0
 	}
-	if err := logToStderr(args.Level); err != nil {
+	if err := logToStdout(args.Level); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	node, err := daemon.New(loaded, daemon.Options{})
+	started, err := build(loaded)
 	if err != nil {
 		klog.Errorf("start: %v", err)
 		return exitFailed
 	}
-	if err := node.Run(ctx); err != nil {
+	go reload(ctx, args.Config)
+	if err := started.Run(ctx); err != nil {
 		klog.Errorf("%v", err)
 		return exitFailed
 	}
 	return 0
 }
 
-// logToStderr sets klog up without its own command-line flags. Instances have no disks, so nothing is logged to files.
-func logToStderr(level int) error {
+// runner is a node on one of the platforms.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func build(set *settings.Settings) (runner, error) {
+	if set.Platform == settings.PlatformRows {
+		return node.New(set, platform.New(set))
+	}
+	return daemon.New(set, daemon.Options{})
+}
+
+// reload checks the settings file on each SIGHUP until ctx ends. Settings are in force from the start of the process; a
+// changed file takes effect at the next start.
+func reload(ctx context.Context, path string) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+		}
+		if _, err := settings.Load(path); err != nil {
+			klog.InfoS("settings file can't be used at the next start", "file", path, "err", err.Error())
+			continue
+		}
+		klog.InfoS("settings file checked", "file", path)
+	}
+}
+
+// logToStdout sets klog up without its own command-line flags. Instances have no disks, so nothing is logged to files.
+func logToStdout(level int) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	return flags.Parse([]string{"-logtostderr=true", fmt.Sprintf("-v=%d", level)})
+	if err := flags.Parse([]string{"-logtostderr=false", "-alsologtostderr=false", "-stderrthreshold=FATAL", fmt.Sprintf("-v=%d", level)}); err != nil {
+		return err
+	}
+	klog.SetOutput(os.Stdout)
+	return nil
 }
--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -22,6 +22,12 @@
 	}
 }
 
+// BeginDrain refuses new requests from its return on; queued ones may start for one more second. It waits for nothing.
+func (g *Gate) BeginDrain() {
+	time.AfterFunc(drainGrace, g.dropQueue)
+	g.beginDrain()
+}
+
 // beginDrain returns a channel that is closed when nothing is in flight or queued.
 func (g *Gate) beginDrain() chan struct{} {
 	g.mu.Lock()
--- a/internal/budget/ratio.go
+++ b/internal/budget/ratio.go
@@ -12,13 +12,14 @@
 type Ratio struct {
 	mu      sync.Mutex
 	percent float64
+	burst   float64 // largest number of tokens kept
 	tokens  float64
 	clock   func() time.Time
 	floorAt time.Time // when the floor was last credited
 }
 
 const (
-	// ratioBurst is the largest number of tokens kept. 10 let one target's refusals be retried at once; more would
+	// ratioBurst is the default of the largest number of tokens kept. 10 let one target's refusals be retried at once; more would
 	// let a long quiet time pay for a retry storm.
 	ratioBurst = 10
 	// floorPerSecond lets a service with few calls retry at all.
@@ -32,7 +33,7 @@
 	if clock == nil {
 		clock = time.Now
 	}
-	ratio := &Ratio{percent: float64(percent), clock: clock, floorAt: clock()}
+	ratio := &Ratio{percent: float64(percent), burst: ratioBurst, clock: clock, floorAt: clock()}
 	if percent > 0 {
 		ratio.tokens = floorTokens
 	}
@@ -49,13 +50,25 @@
 	}
 }
 
+// SetBurst changes the largest number of tokens kept; 0 restores the default. Nodes that share one allowance each take
+// their part of it.
+func (r *Ratio) SetBurst(tokens float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if tokens <= 0 {
+		tokens = ratioBurst
+	}
+	r.burst = tokens
+	r.tokens = math.Min(r.tokens, r.burst)
+}
+
 // First counts a first attempt, which earns percent/100 of a token. The floor pays only what attempts don't earn, so a
 // busy service stays within its share.
 func (r *Ratio) First() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	earned := r.percent / 100
-	r.tokens = math.Min(ratioBurst, r.tokens+earned)
+	r.tokens = math.Min(r.burst, r.tokens+earned)
 	r.floorAt = r.floorAt.Add(time.Duration(earned / floorPerSecond * float64(time.Second)))
 	if now := r.clock(); r.floorAt.After(now) {
 		r.floorAt = now
@@ -81,7 +94,7 @@
 func (r *Ratio) Return() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tokens = math.Min(ratioBurst, r.tokens+1)
+	r.tokens = math.Min(r.burst, r.tokens+1)
 }
 
 func (r *Ratio) creditFloor() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/acacialock/acacialock/internal/forward"
 	"github.com/acacialock/acacialock/internal/inbound"
 	"github.com/acacialock/acacialock/internal/keys"
+	"github.com/acacialock/acacialock/internal/peerclient"
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/quarantine"
 	"github.com/acacialock/acacialock/internal/servicelist"
@@ -48,7 +50,7 @@
 	view      *cluster.View
 	metrics   *telemetry.Registry
 	metering  *metering
-	peers     *peerClients
+	peers     *peerclient.Clients
 	control   *control.Node
 	keys      *keys.Service
 	inbound   *inbound.Handler
@@ -72,7 +74,10 @@
 	d := &Daemon{settings: set, options: options, self: newSelf(set), metrics: telemetry.New()}
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
 	d.metering = &metering{bytes: budget.NewBytes(defaultLimits, nil), view: d.view}
-	d.peers = newPeerClients(d.metering, options.Dial)
+	d.peers = peerclient.New(options.Dial, func(next http.RoundTripper) http.RoundTripper {
+		d.metering.next = next
+		return d.metering
+	})
 	client := platform.NewClient(platform.Config{
 		Addr:             set.PlatformAddr,
 		TryTimeout:       set.PlatformTryTimeout,
@@ -142,7 +147,7 @@
 		TargetAddr: d.settings.TargetAddr,
 		Metrics:    d.metrics,
 		Gate:       keyGate{d},
-		Peers:      quarantine.NewPeers(d.view, d.peers.kept),
+		Peers:      quarantine.NewPeers(d.view, d.peers.Kept),
 		HealthPath: d.settings.TargetHealthPath,
 		MaySample:  d.metering.sample,
 	})
@@ -151,7 +156,7 @@
 		View:    d.view,
 		Table:   client,
 		Metrics: d.metrics,
-		Keys:    d.peers.keys,
+		Keys:    d.peers.Keys,
 		Runner:  keyedAttempts{d.inbound},
 	})
 	d.keys = service
@@ -159,7 +164,7 @@
 }
 
 func (d *Daemon) newKeysClient(client *platform.Client) *keys.Client {
-	return keys.NewClient(keys.ClientConfig{Self: d.self, View: d.view, Table: client, Keys: d.peers.keys})
+	return keys.NewClient(keys.ClientConfig{Self: d.self, View: d.view, Table: client, Keys: d.peers.Keys})
 }
 
 func (d *Daemon) newControl(client *platform.Client) error {
@@ -170,7 +175,7 @@
 		Table:           client,
 		Objects:         client.Objects(),
 		ParseList:       servicelist.Parse,
-		Client:          d.peers.control,
+		Client:          d.peers.Control,
 		View:            d.view,
 		Metrics:         d.metrics,
 		OnRosterVersion: d.keys.ConfirmRoster,
@@ -185,7 +190,7 @@
 	d.transport = forward.New(forward.Config{Dial: d.options.Dial, Metrics: d.metrics})
 	d.policies = entry.NewPolicies(entry.PoliciesConfig{
 		Self:      d.self,
-		Probe:     d.peers.probe,
+		Probe:     d.peers.Probe,
 		Bytes:     d.metering.bytes,
 		Transport: d.transport,
 		Metrics:   d.metrics,
@@ -194,7 +199,7 @@
 		View:      d.view,
 		Transport: d.transport,
 		Policies:  d.policies,
-		Attempts:  d.peers.attemptsOnNewConnection,
+		Attempts:  d.peers.AttemptsOnNewConnection,
 		Keys:      d.newKeysClient(client),
 		Metrics:   d.metrics,
 	})
@@ -311,7 +316,7 @@
 	d.policies.Close()
 	d.transport.Close()
 	d.inbound.Close()
-	d.peers.close()
+	d.peers.Close()
 }
 
 // refusals is the total of refusals since the start, for the heartbeat.
--- a/internal/daemon/metering_test.go
+++ b/internal/daemon/metering_test.go
@@ -59,7 +59,7 @@
 	}}
 	defer transport.CloseIdleConnections()
 	clientSide.next = transport
-	client := rpc.NewControlProtobufClient(baseURL(addr), &http.Client{Transport: clientSide})
+	client := rpc.NewControlProtobufClient("http://"+addr, &http.Client{Transport: clientSide})
 
 	const calls = 3
 	for range calls {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -75,7 +75,7 @@
 
 // follow waits for the answer, checks the connection when the first byte is late, and settles the outcome.
 func (a *attempt) follow(ctx context.Context, arrived chan arrival) result {
-	tracker := a.handler.latencies.route(a.call.service.Name, a.call.request.Method)
+	tracker := a.handler.latencies.route(a.call.route())
 	wait := tracker.suspectAfter()
 	suspect := time.NewTimer(wait)
 	defer suspect.Stop()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -24,6 +24,7 @@
 type call struct {
 	request    *http.Request
 	snapshot   *cluster.Snapshot
+	rule       *servicelist.Rule // nil when the host names the service
 	service    *servicelist.Service
 	body       *requestBody
 	idempotent bool
@@ -31,6 +32,7 @@
 	deadline   time.Time
 	depth      int
 	sends      int      // sends so far, over all layers
+	reached    int      // sends that a target may have seen
 	tried      []string // ids of members that were sent an attempt
 }
 
@@ -41,18 +43,24 @@
 		return nil, failure.New(failure.NoServiceList, failure.NotRun, "the node knows no accepted service list yet")
 	}
 	h.config.Policies.Update(snapshot)
-	name := serviceName(request.Host)
-	service := snapshot.Service(name)
-	if service == nil {
-		return nil, failure.New(failure.UnknownService, failure.NotRun, "the service list has no service %q", name)
+	created := &call{request: request, snapshot: snapshot}
+	if failed := created.findService(); failed != nil {
+		return nil, failed
 	}
-	created := &call{request: request, snapshot: snapshot, service: service}
 	if failed := created.readHeaders(); failed != nil {
 		return nil, failed
 	}
 	if failed := created.checkAccess(); failed != nil {
 		return nil, failed
 	}
+	if limit := snapshot.List.CallerLimits.MaxBodyBytes; limit > 0 {
+		if request.ContentLength > limit {
+			return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the body has %d bytes, %d are allowed", request.ContentLength, limit)
+		}
+		if request.ContentLength < 0 {
+			request.Body = http.MaxBytesReader(nil, request.Body, limit)
+		}
+	}
 	body, err := newRequestBody(request)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.BadRequest, failure.NotRun, "the request body ended early")
@@ -61,6 +69,38 @@
 	return created, nil
 }
 
+// findService chooses the rule and the service of the request.
+func (c *call) findService() *failure.Error {
+	list, host := c.snapshot.List, hostName(c.request.Host)
+	name := host
+	if list.Rules.Len() > 0 {
+		if c.rule = list.Rules.Match(host, c.request.URL.Path); c.rule == nil {
+			return failure.New(failure.UnknownRoute, failure.NotRun, "no rule of list %d matches host %q and path %q", list.Version, host, c.request.URL.Path)
+		}
+		name = c.rule.Service()
+	}
+	if c.service = c.snapshot.Service(name); c.service == nil {
+		return failure.New(failure.UnknownService, failure.NotRun, "the service list has no service %q", name)
+	}
+	return nil
+}
+
+// route names the kind of call under which latencies are tracked.
+func (c *call) route() (service, kind string) {
+	if c.rule != nil {
+		return c.service.Name, c.rule.Name
+	}
+	return c.service.Name, c.request.Method
+}
+
+// maxReached bounds the targets that the call may reach.
+func (c *call) maxReached() int {
+	if c.rule != nil {
+		return c.rule.MaxAttempts
+	}
+	return maxSends
+}
+
 func (c *call) readHeaders() *failure.Error {
 	timeout, err := wire.ParseTimeout(c.request.Header)
 	if err != nil {
@@ -69,6 +109,9 @@
 	if timeout == 0 {
 		timeout = c.service.Timeout
 	}
+	if c.rule != nil {
+		timeout = min(timeout, c.rule.Timeout)
+	}
 	c.deadline = time.Now().Add(timeout)
 	if c.depth, err = wire.ParseDepth(c.request.Header); err != nil {
 		return failure.Wrap(err, failure.BadRequest, failure.NotRun, "invalid request")
@@ -81,7 +124,11 @@
 			return failure.New(failure.BadRequest, failure.NotRun, "header %s: value %q is not a non-negative integer", wire.Attempts, text)
 		}
 	}
-	c.idempotent = c.service.IdempotentCall(c.request.Method, c.request.URL.Path)
+	if c.rule != nil {
+		c.idempotent = c.rule.Idempotent
+	} else {
+		c.idempotent = c.service.IdempotentCall(c.request.Method, c.request.URL.Path)
+	}
 	keys := c.request.Header.Values(wire.IdempotencyKey)
 	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKeyBytes)) {
 		return failure.New(failure.BadKey, failure.NotRun, "%s must be given once and hold 1 to %d bytes", wire.IdempotencyKey, maxKeyBytes)
@@ -117,7 +164,7 @@
 	return context.WithDeadline(c.request.Context(), c.deadline)
 }
 
-func serviceName(host string) string {
+func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -29,6 +29,8 @@
 	// Keys claims Idempotency-Keys; nil refuses calls that carry one.
 	Keys    *keys.Client
 	Metrics *telemetry.Registry
+	// Refuse writes a failure's header in the callers' form and returns the status; nil uses the product's own form.
+	Refuse func(header http.Header, failed *failure.Error) int
 }
 
 // Handler serves callers on the entry listener. Safe for concurrent use.
@@ -99,7 +101,7 @@
 // observed reports an attempt's end to the balancer and to the latency tracker.
 func (h *Handler) observed(c *call, pick balance.Pick, ended result) result {
 	if ended.response != nil {
-		h.latencies.route(c.service.Name, c.request.Method).record(ended.latency, time.Now())
+		h.latencies.route(c.route()).record(ended.latency, time.Now())
 	}
 	report := balance.Result{Sample: ended.sample, Latency: ended.latency}
 	if ended.failed != nil {
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -22,6 +22,8 @@
 	// Transport drops its connections to nodes that left.
 	Transport *forward.Transport
 	Metrics   *telemetry.Registry
+	// LinkRoom reports whether calls may cross to another region; nil: always.
+	LinkRoom func() bool
 }
 
 // Policies holds a balancer, a retry budget and a hedge budget for each service that the node reaches. Safe for
@@ -66,12 +68,22 @@
 			continue
 		}
 		policy.retry.SetPercent(service.Retry.BudgetPercent)
+		policy.retry.SetBurst(burstOf(service, snapshot))
 		policy.hedge.SetPercent(service.Retry.HedgePercent)
 		policy.balancer.Update(snapshot.Members[name])
 	}
 	p.config.Transport.Forget(peerAddrs(snapshot))
 }
 
+// burstOf is this node's part of the retries that all nodes together may send at once; 0: the default.
+func burstOf(service *servicelist.Service, snapshot *cluster.Snapshot) float64 {
+	nodes := 0
+	for _, members := range snapshot.Members {
+		nodes += len(members)
+	}
+	return float64(service.Retry.SharedBurst) / float64(max(1, nodes))
+}
+
 func peerAddrs(snapshot *cluster.Snapshot) map[string]bool {
 	addrs := map[string]bool{}
 	for _, members := range snapshot.Members {
@@ -102,17 +114,20 @@
 
 func (p *Policies) newPolicy(service *servicelist.Service) *Policy {
 	pool := balance.NewPool(balance.Config{
-		Service: service.Name,
-		Self:    p.config.Self,
-		Slots:   service.Limits.Slots,
-		Probe:   p.config.Probe,
-		Bytes:   p.config.Bytes,
-		Metrics: p.config.Metrics,
+		Service:  service.Name,
+		Self:     p.config.Self,
+		Slots:    service.Limits.Slots,
+		Probe:    p.config.Probe,
+		Bytes:    p.config.Bytes,
+		Metrics:  p.config.Metrics,
+		LinkRoom: p.config.LinkRoom,
 	})
 	pool.Update(p.seen.Load().Members[service.Name])
+	retry := budget.NewRatio(service.Retry.BudgetPercent, nil)
+	retry.SetBurst(burstOf(service, p.seen.Load()))
 	return &Policy{
 		balancer: pool,
-		retry:    budget.NewRatio(service.Retry.BudgetPercent, nil),
+		retry:    retry,
 		hedge:    budget.NewRatio(service.Retry.HedgePercent, nil),
 	}
 }
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -79,6 +79,10 @@
 func (h *Handler) refuse(w http.ResponseWriter, failed *failure.Error) {
 	h.config.Metrics.Refused("entry", failed.Reason)
 	header := w.Header()
+	if h.config.Refuse != nil {
+		w.WriteHeader(h.config.Refuse(header, failed))
+		return
+	}
 	header.Set(wire.Reason, string(failed.Reason))
 	header.Set(wire.Outcome, string(failed.Outcome))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -92,7 +92,7 @@
 // hedgeTimer fires when an idempotent call is slower than usual. Nested calls are not hedged: hedges at each of ten
 // layers would multiply.
 func (h *Handler) hedgeTimer(c *call) *time.Timer {
-	after := h.latencies.route(c.service.Name, c.request.Method).hedgeAfter()
+	after := h.latencies.route(c.route()).hedgeAfter()
 	timer := time.NewTimer(after)
 	if after == 0 || !c.idempotent || c.depth > 0 || c.body.streamed() {
 		timer.Stop()
@@ -109,7 +109,10 @@
 
 // mayRepeat decides whether a failed attempt is followed by another and takes it from the budget.
 func (h *Handler) mayRepeat(c *call, policy *Policy, failed *failure.Error) bool {
-	if !repeatable(c, failed) || c.sends >= maxSends || c.left() <= 0 {
+	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
+		c.reached++
+	}
+	if !repeatable(c, failed) || c.sends >= maxSends || c.reached >= c.maxReached() || c.left() <= 0 {
 		return false
 	}
 	if !c.body.replayable() {
@@ -137,7 +140,7 @@
 // bounds them.
 func reachedNoTarget(failed *failure.Error) bool {
 	switch failed.Reason {
-	case failure.ConnectFailed, failure.ConnectionSilent:
+	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget:
 		return true
 	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -9,6 +9,8 @@
 const (
 	// Entry node.
 	UnknownService      Reason = "unknown-service"
+	UnknownRoute        Reason = "unknown-route"
+	BodyTooLarge        Reason = "body-too-large"
 	BadRequest          Reason = "bad-request"
 	NoServiceList       Reason = "no-service-list"
 	NoTarget            Reason = "no-target"
@@ -35,6 +37,8 @@
 	Quarantined         Reason = "quarantined"
 	TargetUnreachable   Reason = "target-unreachable"
 	TargetBroke         Reason = "target-connection-broke"
+	TargetShed          Reason = "target-shed"
+	NoLocalTarget       Reason = "no-local-target"
 
 	// Calls with an Idempotency-Key.
 	BadKey             Reason = "bad-idempotency-key"
@@ -53,6 +57,8 @@
 // statuses holds the reasons that are not answered with 503 Service Unavailable.
 var statuses = map[Reason]int{
 	UnknownService:      http.StatusNotFound,
+	UnknownRoute:        http.StatusNotFound,
+	BodyTooLarge:        http.StatusRequestEntityTooLarge,
 	BadRequest:          http.StatusBadRequest,
 	DepthExceeded:       http.StatusLoopDetected,
 	DeadlineExceeded:    http.StatusGatewayTimeout,
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -1,7 +1,9 @@
 package inbound
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -168,10 +170,55 @@
 		return e.failedBeforeAnswer(ctx, err)
 	}
 	defer answer.Body.Close()
+	if refused := e.check(request, answer); refused != nil {
+		return refused
+	}
+	if err := e.readAhead(answer); err != nil {
+		return e.ended(ctx, err)
+	}
 	e.answer(ctx, answer)
 	return nil
 }
 
+// check lets the target's protocol judge the answer.
+func (e *exchange) check(request *http.Request, answer *http.Response) *failure.Error {
+	if e.handler.config.Protocol == nil {
+		return nil
+	}
+	failed := e.handler.config.Protocol.Check(request, answer)
+	if failed == nil {
+		return nil
+	}
+	if failed.Outcome == failure.NotRun {
+		e.attempt.Refuse()
+		return failed
+	}
+	e.attempt.Broken()
+	e.handler.target.Load().transport.CloseIdleConnections() // nothing that follows on the connection can be trusted
+	return failed
+}
+
+// readAhead reads the start of the answer's body, which it puts before the rest.
+func (e *exchange) readAhead(answer *http.Response) error {
+	limit := e.handler.config.ReadAhead
+	if limit == 0 || answer.ContentLength == 0 || answer.ContentLength > int64(limit) {
+		return nil
+	}
+	head, err := io.ReadAll(io.LimitReader(answer.Body, int64(limit)))
+	if err != nil {
+		return err
+	}
+	if len(head) < limit {
+		answer.ContentLength = int64(len(head))
+	}
+	rest := answer.Body
+	answer.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), rest), rest}
+	return nil
+}
+
 // targetRequest is the request for the target. It is built so that net/http never sends a non-idempotent one twice.
 func (e *exchange) targetRequest(ctx context.Context) *http.Request {
 	url := *e.in.url
@@ -192,6 +239,9 @@
 			withoutReplay(request)
 		}
 	}
+	if e.handler.config.Protocol != nil {
+		e.handler.config.Protocol.Prepare(request.Header, time.Until(e.in.deadline))
+	}
 	return request.WithContext(ctx)
 }
 
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -41,11 +41,27 @@
 	// MaySample charges a load sample to the budget of measuring and reports whether the answer may carry it; nil:
 	// every answer does.
 	MaySample func(crossesLink bool) bool
+	// Protocol adapts requests to the target and judges its answers; nil: the product's own headers.
+	Protocol TargetProtocol
+	// Slots is the number of requests that the target serves at once, as it says itself; 0: as the service list says.
+	Slots int
+	// ReadAhead is the size up to which an answer is read whole before its header is passed on, so that a broken answer is
+	// a failure that may be repeated; 0: answers are passed on as they come.
+	ReadAhead int
 	// MaxAttempts and MaxAnswerBytes bound the ledger; 0 takes its defaults.
 	MaxAttempts    int
 	MaxAnswerBytes int
 }
 
+// TargetProtocol adapts requests and answers to what the targets of a platform speak.
+type TargetProtocol interface {
+	// Prepare completes the header of a request; left is the time until its deadline.
+	Prepare(header http.Header, left time.Duration)
+	// Check judges an answer by its header. A failure with the outcome not-run means that the target proved that it did
+	// not run the request; with unknown, that the answer can't be used. nil passes the answer on.
+	Check(request *http.Request, answer *http.Response) *failure.Error
+}
+
 // Handler serves wire.ForwardPath, rpc.Load, rpc.Attempts and rpc.Quarantine. It must be called without http.ServeMux,
 // which redirects requests whose path is not clean. Safe for concurrent use.
 type Handler struct {
@@ -97,6 +113,9 @@
 // answer's last bytes are written after its slot was given back.
 func (h *Handler) Drain(ctx context.Context) error { return h.gate.Drain(ctx) }
 
+// BeginDrain refuses new requests from its return on. Requests in flight go on.
+func (h *Handler) BeginDrain() { h.gate.BeginDrain() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.applyLimits()
@@ -133,6 +152,9 @@
 		connections = DefaultConnections
 	}
 	slots := limits.Slots
+	if h.config.Slots > 0 {
+		slots = h.config.Slots
+	}
 	if slots <= 0 {
 		slots = admission.DefaultSlots
 	}
@@ -149,10 +171,15 @@
 // refuse answers with a failure.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failed *failure.Error) {
 	h.config.Metrics.Refused(role, failed.Reason)
+	h.addSample(w.Header(), r)
+	WriteRefusal(w, failed)
+}
+
+// WriteRefusal answers another node's forwarded request with a failure.
+func WriteRefusal(w http.ResponseWriter, failed *failure.Error) {
 	header := w.Header()
 	header.Set(wire.Reason, string(failed.Reason))
 	header.Set(wire.Outcome, string(failed.Outcome))
-	h.addSample(header, r)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(failed.RetryAfter.Seconds())))
--- /dev/null
+++ b/internal/membership/directory.go
@@ -0,0 +1,367 @@
+// Package membership follows the store: the members that nodes announce there, and the service list. A node writes its own
+// row on each change and never to show that it is alive; whether a member answers is seen by those who send to it.
+package membership
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+)
+
+const (
+	// feedWait is the longest wait of one read of changes. Each read is priced, so it is long; a connection that went
+	// silent is found by the keep-alive probes of the store's client.
+	feedWait = 20 * time.Second
+	// firstRetry and lastRetry bound the pause after a failed call, which doubles and has up to half of it added at random.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// memberPause is waited after member changes, so that the changes of a start or a release are read together.
+	memberPause = 150 * time.Millisecond
+)
+
+// ListSource tells where the service list lies in the store and how it is read.
+type ListSource struct {
+	Table, Key string
+	Parse      func(value []byte) (*servicelist.List, error)
+}
+
+// Config configures a Directory. All fields are required.
+type Config struct {
+	// Self is the node before its target is known; its name is the key of its row.
+	Name    string
+	Self    cluster.Member
+	Store   platform.Feed
+	List    ListSource
+	View    *cluster.View
+	Metrics *telemetry.Registry
+}
+
+// Directory owns the node's control state. One goroutine, Run, changes it and publishes snapshots.
+type Directory struct {
+	config  Config
+	events  chan func()
+	own     chan struct{} // signals the writer that wanted changed
+	wanted  atomic.Pointer[Row]
+	stored  atomic.Bool // the wanted row is in the store
+	loaded  chan struct{}
+	initial Row // own row as an earlier process left it; valid once loaded is closed
+
+	// State of the Run goroutine.
+	rows map[string]memberRow
+	list *servicelist.List
+
+	ownVersion  atomic.Uint64
+	listLoaded  atomic.Bool
+	listVersion atomic.Uint64
+}
+
+type memberRow struct {
+	version uint64
+	row     Row
+}
+
+// New returns a directory; call Run.
+func New(config Config) *Directory {
+	return &Directory{
+		config: config,
+		events: make(chan func()),
+		own:    make(chan struct{}, 1),
+		loaded: make(chan struct{}),
+		rows:   map[string]memberRow{},
+	}
+}
+
+// Loaded is closed once the members were read from the store; OwnRow is valid from then on.
+func (d *Directory) Loaded() <-chan struct{} { return d.loaded }
+
+// OwnRow returns the row that an earlier process of this node left; its target id is empty when there was none.
+func (d *Directory) OwnRow() Row { return d.initial }
+
+// Ready reports whether the node knows the members and a service list.
+func (d *Directory) Ready() bool {
+	select {
+	case <-d.loaded:
+		return d.listLoaded.Load()
+	default:
+		return false
+	}
+}
+
+// Announced reports whether the row given last to Announce is in the store.
+func (d *Directory) Announced() bool { return d.stored.Load() }
+
+// Announce makes the row this node's row, in the own snapshot at once and in the store as soon as it can be reached.
+func (d *Directory) Announce(row Row) {
+	d.stored.Store(false)
+	d.wanted.Store(&row)
+	select {
+	case d.own <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the store until ctx ends.
+func (d *Directory) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.follow(ctx, MembersTable, memberPause, d.applyMembers) })
+	group.Go(func() error { return d.follow(ctx, d.config.List.Table, 0, d.applyList) })
+	group.Go(func() error { return d.writeOwn(ctx) })
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case event := <-d.events:
+				event()
+				d.publish()
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// apply runs a change on the goroutine that owns the state and waits for it.
+func (d *Directory) apply(ctx context.Context, change func()) {
+	done := make(chan struct{})
+	select {
+	case d.events <- func() { defer close(done); change() }:
+		<-done
+	case <-ctx.Done():
+	}
+}
+
+// follow reads a table and then its changes until ctx ends. whole tells apply that rows are the whole table.
+func (d *Directory) follow(
+	ctx context.Context, table string, pause time.Duration, apply func(ctx context.Context, rows []platform.FeedRow, whole bool),
+) error {
+	var after uint64
+	known := false
+	retry := backoff{}
+	lost := false
+	for ctx.Err() == nil {
+		var rows []platform.FeedRow
+		var version uint64
+		var err error
+		whole := !known
+		if whole {
+			rows, version, err = d.config.Store.ReadAll(ctx, table)
+		} else {
+			rows, version, err = d.config.Store.Changes(ctx, table, after, feedWait)
+		}
+		var gap *platform.HistoryLostError
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.As(err, &gap):
+			klog.InfoS("history lost, reading the table again", "table", table, "after", after)
+			known = false
+			retry.wait(ctx)
+			continue
+		case err != nil:
+			if !lost {
+				klog.InfoS("store lost", "table", table, "after", after, "err", err.Error())
+				d.config.Metrics.Counter("store.lost." + table).Inc(1)
+			}
+			lost = true
+			retry.wait(ctx)
+			continue
+		}
+		if lost {
+			klog.InfoS("store regained", "table", table, "version", version)
+		}
+		lost = false
+		retry.reset()
+		known, after = true, version
+		if len(rows) > 0 || whole {
+			apply(ctx, rows, whole)
+		}
+		if len(rows) > 0 && pause > 0 {
+			sleep(ctx, pause)
+		}
+	}
+	return nil
+}
+
+func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, whole bool) {
+	d.apply(ctx, func() {
+		if whole {
+			clear(d.rows)
+		}
+		for _, row := range rows {
+			d.applyMember(row)
+		}
+	})
+	select {
+	case <-d.loaded:
+	default:
+		if ctx.Err() == nil {
+			close(d.loaded)
+		}
+	}
+}
+
+// applyMember takes over one row. The first one under the own name was written by an earlier process of this node.
+func (d *Directory) applyMember(changed platform.FeedRow) {
+	if changed.Key == d.config.Name {
+		d.ownVersion.Store(max(d.ownVersion.Load(), changed.Version))
+	}
+	if changed.Removed {
+		delete(d.rows, changed.Key)
+		return
+	}
+	row, err := decodeRow(changed.Value)
+	if err != nil {
+		klog.InfoS("member row ignored: not readable", "key", changed.Key, "version", changed.Version, "err", err.Error())
+		return
+	}
+	if changed.Key == d.config.Name {
+		select {
+		case <-d.loaded:
+		default:
+			d.initial = row
+		}
+		return
+	}
+	old, seen := d.rows[changed.Key]
+	d.rows[changed.Key] = memberRow{changed.Version, row}
+	if !seen || old.row.Member != row.Member || old.row.Gone != row.Gone {
+		klog.InfoS("member changed", "member", row.Member.ID, "service", row.Member.Service, "zone", row.Member.Zone,
+			"target", row.Target.ID, "draining", row.Member.Draining, "gone", row.Gone, "version", changed.Version)
+	}
+}
+
+func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, _ bool) {
+	for _, row := range rows {
+		if row.Key != d.config.List.Key || row.Removed {
+			continue
+		}
+		list, err := d.config.List.Parse(row.Value)
+		if err != nil {
+			klog.InfoS("service list rejected", "row", row.Version, "in_force", d.listVersion.Load(), "err", err.Error())
+			d.config.Metrics.Counter("list.rejected").Inc(1)
+			continue
+		}
+		d.apply(ctx, func() { d.takeList(list) })
+	}
+}
+
+// takeList puts a newer list in force. An older one is never taken again.
+func (d *Directory) takeList(list *servicelist.List) {
+	if d.list != nil && list.Version <= d.list.Version {
+		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.list.Version)
+		return
+	}
+	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
+	d.list = list
+	d.listVersion.Store(list.Version)
+	d.listLoaded.Store(true)
+	d.config.Metrics.Gauge("list.version").Update(int64(list.Version))
+}
+
+// publish gives traffic a new snapshot.
+func (d *Directory) publish() {
+	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.list, Members: map[string][]cluster.Member{}}
+	add := func(row Row) {
+		if row.Gone || row.Member.ID == "" {
+			return
+		}
+		snapshot.Members[row.Member.Service] = append(snapshot.Members[row.Member.Service], row.Member)
+	}
+	for _, known := range d.rows {
+		add(known.row)
+	}
+	if own := d.wanted.Load(); own != nil {
+		add(*own)
+	}
+	for _, members := range snapshot.Members {
+		slices.SortFunc(members, func(a, b cluster.Member) int { return strings.Compare(a.ID, b.ID) })
+	}
+	d.config.View.Publish(snapshot)
+}
+
+// writeOwn keeps the store's row of this node equal to the row announced last.
+func (d *Directory) writeOwn(ctx context.Context) error {
+	select {
+	case <-d.loaded:
+	case <-ctx.Done():
+		return nil
+	}
+	retry := backoff{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.own:
+		}
+		d.apply(ctx, func() {}) // publishes the own row
+		for ctx.Err() == nil {
+			if err := d.writeOnce(ctx); err == nil {
+				retry.reset()
+				break
+			}
+			retry.wait(ctx)
+		}
+	}
+}
+
+// writeOnce writes the wanted row under the condition that it replaces the one known, so that a write that takes effect
+// late can't undo a newer one.
+func (d *Directory) writeOnce(ctx context.Context) error {
+	row := d.wanted.Load()
+	known := d.ownVersion.Load()
+	version, err := d.config.Store.Replace(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Value: encodeRow(*row)}, known)
+	var stale *platform.StaleRowError
+	switch {
+	case errors.As(err, &stale):
+		d.ownVersion.Store(stale.Stored.Version)
+		return err
+	case err != nil:
+		klog.InfoS("own row not written", "target", row.Target.ID, "draining", row.Member.Draining, "err", err.Error())
+		return eris.Wrap(err, "write the own row")
+	}
+	d.ownVersion.Store(max(d.ownVersion.Load(), version))
+	if d.wanted.Load() == row {
+		d.stored.Store(true)
+	}
+	klog.InfoS("own row written", "member", row.Member.ID, "target", row.Target.ID, "draining", row.Member.Draining,
+		"gone", row.Gone, "version", version)
+	return nil
+}
+
+// Leave removes the node's row; its target has left and the node ends.
+func (d *Directory) Leave(ctx context.Context) error {
+	_, err := d.config.Store.Replace(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Removed: true}, d.ownVersion.Load())
+	return eris.Wrap(err, "remove the own row")
+}
+
+// backoff paces repeated calls.
+type backoff struct{ pause time.Duration }
+
+func (b *backoff) reset() { b.pause = 0 }
+
+func (b *backoff) wait(ctx context.Context) {
+	b.pause = min(max(2*b.pause, firstRetry), lastRetry)
+	sleep(ctx, b.pause+rand.N(b.pause/2))
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,310 @@
+// Package node wires a node on a platform whose store can be followed: the callers' side, the target's side and the
+// directory of members. There is no leader; each node writes the row of its own target and follows the others.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/entry"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/inbound"
+	"github.com/acacialock/acacialock/internal/membership"
+	"github.com/acacialock/acacialock/internal/peerclient"
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/quarantine"
+	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/settings"
+	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/wire"
+)
+
+// Platform translates between a node and the platform that it runs on. It decides nothing.
+type Platform interface {
+	Store() platform.Feed
+	// List tells where the service list lies.
+	List() membership.ListSource
+	// Callers translates the requests of callers before next serves them. service is the one of the local target.
+	Callers(service string, next http.Handler) http.Handler
+	// Refuse writes the header of a failure in the callers' form and returns its status.
+	Refuse(header http.Header, failed *failure.Error) int
+	// Target returns the protocol of the target with that id.
+	Target(id string) inbound.TargetProtocol
+	// CheckIns serves the announcements of the local target.
+	CheckIns(to Registrar) http.Handler
+	// ReadyPath is the path on the admin listener that tells whether callers may be sent to the node.
+	ReadyPath() string
+	Close()
+}
+
+const (
+	// callersLeave is the time that callers may go on to arrive after the node stopped being ready: two questions a second
+	// apart, and one in flight.
+	callersLeave = 3 * time.Second
+	// exitMargin is left of the drain timeout for the end of the process.
+	exitMargin = 500 * time.Millisecond
+	// leaveTimeout bounds the removal of the own row at the end.
+	leaveTimeout = 500 * time.Millisecond
+	// readHeaderTimeout is above the longest time that operators allow callers for a header.
+	readHeaderTimeout = 10 * time.Second
+	// serverIdleTimeout is longer than the idle time of callers and of other nodes' connections, so that they close first.
+	serverIdleTimeout = 150 * time.Second
+)
+
+// Node is one node.
+type Node struct {
+	settings  *settings.Settings
+	platform  Platform
+	self      cluster.Member // without the number of the target's boot in its id
+	view      *cluster.View
+	metrics   *telemetry.Registry
+	directory *membership.Directory
+	peers     *peerclient.Clients
+	transport *forward.Transport
+	policies  *entry.Policies
+	entry     *entry.Handler
+	target    *localTarget
+	servers   []server
+	draining  atomic.Bool
+}
+
+type server struct {
+	name   string
+	socket net.Listener
+	http   *http.Server
+}
+
+// New builds a node and opens its listeners.
+func New(set *settings.Settings, on Platform) (*Node, error) {
+	n := &Node{settings: set, platform: on, self: newSelf(set), metrics: telemetry.New()}
+	n.view = cluster.NewView(&cluster.Snapshot{Self: n.self})
+	n.peers = peerclient.New(nil, nil)
+	n.directory = membership.New(membership.Config{
+		Name:    set.Name,
+		Self:    n.self,
+		Store:   on.Store(),
+		List:    on.List(),
+		View:    n.view,
+		Metrics: n.metrics,
+	})
+	n.transport = forward.New(forward.Config{Metrics: n.metrics})
+	n.policies = entry.NewPolicies(entry.PoliciesConfig{
+		Self:      n.self,
+		Bytes:     budget.NewBytes(budget.Limits{}, nil),
+		Transport: n.transport,
+		Metrics:   n.metrics,
+	})
+	n.entry = entry.New(entry.Config{
+		View:      n.view,
+		Transport: n.transport,
+		Policies:  n.policies,
+		Attempts:  n.peers.AttemptsOnNewConnection,
+		Metrics:   n.metrics,
+		Refuse:    on.Refuse,
+	})
+	n.target = &localTarget{node: n}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// newSelf gives the node a new incarnation.
+func newSelf(set *settings.Settings) cluster.Member {
+	var incarnation [4]byte
+	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never fails
+	return cluster.Member{
+		ID:       set.Name + "@" + hex.EncodeToString(incarnation[:]),
+		Service:  set.Service,
+		Zone:     set.Zone,
+		Region:   set.Region,
+		PeerAddr: set.PeerAddr,
+	}
+}
+
+func (n *Node) newHandler(member cluster.Member, announced *CheckIn) *inbound.Handler {
+	return inbound.New(inbound.Config{
+		Self:       member,
+		View:       n.view,
+		TargetAddr: n.settings.TargetAddr,
+		Metrics:    n.metrics,
+		Peers:      quarantine.NewPeers(n.view, n.peers.Kept),
+		Protocol:   n.platform.Target(announced.TargetID),
+		Slots:      announced.Slots,
+		ReadAhead:  readAheadBytes,
+	})
+}
+
+func (n *Node) listen() error {
+	bind := []struct {
+		name, addr string
+		handler    http.Handler
+	}{
+		{"entry", n.settings.EntryAddr, n.closeWhenDraining(n.platform.Callers(n.settings.Service, n.entry))},
+		{"peer", n.settings.PeerAddr, n.peerHandler()},
+		{"admin", n.settings.AdminAddr, n.adminHandler()},
+		{"check-in", n.settings.CheckInAddr, n.platform.CheckIns(n.target)},
+	}
+	for _, one := range bind {
+		socket, err := net.Listen("tcp", one.addr)
+		if err != nil {
+			n.closeServers()
+			return eris.Wrapf(err, "open the %s listener", one.name)
+		}
+		n.servers = append(n.servers, server{one.name, socket, &http.Server{
+			Handler: one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
+		}})
+	}
+	return nil
+}
+
+// closeWhenDraining asks callers to close their connection after each answer once the node drains.
+func (n *Node) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// peerHandler serves other nodes. Forwarded paths go past the mux, which would redirect paths with "//" or "..".
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	for _, service := range []rpc.TwirpServer{
+		rpc.NewLoadServer(n.target),
+		rpc.NewAttemptsServer(n.target),
+		rpc.NewQuarantineServer(n.target),
+	} {
+		mux.Handle(service.PathPrefix(), service)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, wire.ForwardPath+"/") {
+			n.target.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// adminHandler serves metrics, health and readiness.
+func (n *Node) adminHandler() http.Handler {
+	ready := func(w http.ResponseWriter, _ *http.Request) {
+		if n.draining.Load() || !n.directory.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", ready)
+	mux.HandleFunc("GET "+n.platform.ReadyPath(), ready)
+	return mux
+}
+
+// Run serves until ctx ends, then drains. It returns nil after a complete drain.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, running := errgroup.WithContext(background)
+	group.Go(func() error { return n.directory.Run(running) })
+	group.Go(func() error {
+		n.loadTarget(running)
+		return nil
+	})
+	for _, one := range n.servers {
+		group.Go(func() error {
+			if err := one.http.Serve(one.socket); err != http.ErrServerClosed {
+				return eris.Wrapf(err, "serve the %s listener", one.name)
+			}
+			return nil
+		})
+	}
+	klog.InfoS("started", "node", n.self.ID, "service", n.self.Service, "zone", n.self.Zone, "region", n.self.Region,
+		"entry", n.settings.EntryAddr, "peer", n.settings.PeerAddr)
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		n.close()
+		return group.Wait()
+	}
+	drained := n.drain()
+	stop()
+	n.close()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return drained
+}
+
+// loadTarget serves the local target once the members are known.
+func (n *Node) loadTarget(ctx context.Context) {
+	select {
+	case <-n.directory.Loaded():
+		n.target.load(n.directory.OwnRow())
+	case <-ctx.Done():
+	}
+}
+
+// drain refuses work for the local target, serves callers until they have left, and finishes what is in flight.
+func (n *Node) drain() error {
+	started := time.Now()
+	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.left())
+	n.draining.Store(true)
+	n.target.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout-exitMargin)
+	defer cancel()
+	if n.target.left() {
+		n.leave()
+	}
+	select {
+	case <-time.After(callersLeave - time.Since(started)):
+	case <-ctx.Done():
+	}
+	var failed error
+	for _, one := range n.servers[:2] {
+		if err := one.http.Shutdown(ctx); err != nil {
+			failed = eris.Wrapf(err, "requests were in flight at the %s listener at the drain timeout", one.name)
+		}
+	}
+	klog.InfoS("stopped", "node", n.self.ID, "after", time.Since(started).Round(time.Millisecond), "complete", failed == nil)
+	return failed
+}
+
+// leave removes the node's row, which would else stay for ever.
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := n.directory.Leave(ctx); err != nil {
+		klog.InfoS("own row not removed", "node", n.self.ID, "err", err.Error())
+	}
+}
+
+func (n *Node) closeServers() {
+	for _, one := range n.servers {
+		_ = one.http.Close() // ends the use of the socket either way
+		_ = one.socket.Close()
+	}
+}
+
+func (n *Node) close() {
+	n.closeServers()
+	n.policies.Close()
+	n.transport.Close()
+	n.target.close()
+	n.peers.Close()
+	n.platform.Close()
+}
--- /dev/null
+++ b/internal/node/target.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/inbound"
+	"github.com/acacialock/acacialock/internal/membership"
+	"github.com/acacialock/acacialock/internal/rpc"
+)
+
+// readAheadBytes is the size up to which answers are checked whole before they are passed on. The largest usual answers
+// have 30 KB.
+const readAheadBytes = 128 << 10
+
+// localTarget holds the handler of the target's present boot and of the one before, whose attempts may still be asked
+// for. It implements Registrar and the inner services of the target's side.
+type localTarget struct {
+	node *Node
+
+	mu      sync.Mutex // held while an announcement is applied
+	state   targetState
+	pending *CheckIn // newest check-in that came before the members were loaded
+	loaded  bool
+	boots   int // handlers started by this process
+
+	current  atomic.Pointer[boot]
+	previous atomic.Pointer[boot]
+}
+
+// boot is one start of the target as this process serves it.
+type boot struct {
+	member  cluster.Member
+	handler *inbound.Handler
+}
+
+// CheckIn implements Registrar.
+func (t *localTarget) CheckIn(announced CheckIn) error {
+	set := t.node.settings
+	if announced.Service != set.Service {
+		return &CheckInError{Field: "service", Value: announced.Service, Want: set.Service}
+	}
+	if announced.Addr != set.TargetAddr {
+		return &CheckInError{Field: "address", Value: announced.Addr, Want: set.TargetAddr}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded {
+		if t.pending == nil || announced.Born > t.pending.Born || announced.Sequence > t.pending.Sequence {
+			t.pending = &announced
+		}
+		return nil
+	}
+	t.apply(&announced)
+	return nil
+}
+
+// Leave implements Registrar.
+func (t *localTarget) Leave(id string, born int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pending != nil && t.pending.TargetID == id {
+		t.pending.Draining = true
+	}
+	if !t.state.leave(id, born) {
+		klog.InfoS("departure of an unknown target", "target", id, "born", born, "known", t.state.id)
+		return
+	}
+	klog.InfoS("target left", "target", id, "born", t.state.born)
+	t.drain()
+	t.announce()
+}
+
+// load starts the use of check-ins, with what an earlier process of this node knew.
+func (t *localTarget) load(earlier membership.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state.id == "" && earlier.Target.ID != "" {
+		t.state = targetState{
+			id:       earlier.Target.ID,
+			born:     earlier.Target.Born,
+			sequence: earlier.Target.Sequence,
+			draining: earlier.Member.Draining,
+			gone:     earlier.Gone,
+		}
+	}
+	t.loaded = true
+	if t.pending != nil {
+		t.apply(t.pending)
+		t.pending = nil
+	}
+}
+
+// apply acts on a check-in. The mutex is held.
+func (t *localTarget) apply(announced *CheckIn) {
+	changed := t.state.apply(announced)
+	unserved := t.current.Load() == nil && !t.state.gone && t.state.id == announced.TargetID
+	switch {
+	case changed == changeBoot || unserved:
+		t.start(announced)
+	case changed == changeDrain:
+		klog.InfoS("target drains", "target", t.state.id, "sequence", announced.Sequence)
+		t.drain()
+	default:
+		return
+	}
+	t.announce()
+}
+
+// start serves a new boot of the target. The mutex is held.
+func (t *localTarget) start(announced *CheckIn) {
+	t.boots++
+	member := t.node.self
+	member.ID += "." + strconv.Itoa(t.boots)
+	next := &boot{member: member, handler: t.node.newHandler(member, announced)}
+	klog.InfoS("target serves", "member", member.ID, "target", t.state.id, "born", t.state.born,
+		"slots", announced.Slots, "draining", t.state.draining, "cold", announced.Cold)
+	if t.state.draining {
+		next.handler.BeginDrain()
+	}
+	old := t.current.Swap(next)
+	if old != nil {
+		old.handler.BeginDrain()
+		if older := t.previous.Swap(old); older != nil {
+			older.handler.Close()
+		}
+	}
+}
+
+// drain starts no new request at the target. The mutex is held.
+func (t *localTarget) drain() {
+	if served := t.current.Load(); served != nil {
+		served.handler.BeginDrain()
+	}
+}
+
+// announce tells the other nodes. The mutex is held.
+func (t *localTarget) announce() {
+	member := t.node.self
+	if served := t.current.Load(); served != nil {
+		member = served.member
+	}
+	member.Draining = t.state.draining
+	t.node.directory.Announce(membership.Row{
+		Member: member,
+		Target: membership.TargetBoot{ID: t.state.id, Born: t.state.born, Sequence: t.state.sequence},
+		Gone:   t.state.gone,
+	})
+}
+
+// left reports whether the target left for good.
+func (t *localTarget) left() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.gone
+}
+
+// stop refuses new requests because the node ends.
+func (t *localTarget) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drain()
+}
+
+func (t *localTarget) close() {
+	for _, one := range []*boot{t.current.Load(), t.previous.Load()} {
+		if one != nil {
+			one.handler.Close()
+		}
+	}
+}
+
+// ServeHTTP serves a forwarded request.
+func (t *localTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	served := t.current.Load()
+	if served == nil {
+		refused := failure.New(failure.NoLocalTarget, failure.NotRun, "the target has not announced itself")
+		inbound.WriteRefusal(w, refused)
+		t.node.metrics.Refused("target", refused.Reason)
+		return
+	}
+	served.handler.ServeHTTP(w, r)
+}
+
+// byMember returns the handler of the boot with that member id, or nil.
+func (t *localTarget) byMember(id string) *inbound.Handler {
+	for _, one := range []*boot{t.current.Load(), t.previous.Load()} {
+		if one != nil && one.member.ID == id {
+			return one.handler
+		}
+	}
+	return nil
+}
+
+// Fence implements rpc.Attempts. An attempt for a member that this process never was is unknown.
+func (t *localTarget) Fence(ctx context.Context, request *rpc.FenceRequest) (*rpc.FenceResponse, error) {
+	handler := t.byMember(request.GetMemberId())
+	if handler == nil {
+		return &rpc.FenceResponse{State: rpc.AttemptState_ATTEMPT_UNKNOWN}, nil
+	}
+	return handler.Fence(ctx, request)
+}
+
+// FetchAnswer implements rpc.Attempts.
+func (t *localTarget) FetchAnswer(ctx context.Context, request *rpc.FetchAnswerRequest) (*rpc.FetchAnswerResponse, error) {
+	handler := t.byMember(request.GetMemberId())
+	if handler == nil {
+		return &rpc.FetchAnswerResponse{State: rpc.AttemptState_ATTEMPT_UNKNOWN}, nil
+	}
+	return handler.FetchAnswer(ctx, request)
+}
+
+var errNoTarget = twirp.Unavailable.Error("the target has not announced itself")
+
+// Probe implements rpc.Load.
+func (t *localTarget) Probe(ctx context.Context, request *rpc.ProbeRequest) (*rpc.ProbeResponse, error) {
+	if served := t.current.Load(); served != nil {
+		return served.handler.Probe(ctx, request)
+	}
+	return nil, errNoTarget
+}
+
+// Share implements rpc.Quarantine.
+func (t *localTarget) Share(ctx context.Context, request *rpc.ShareRequest) (*rpc.ShareResponse, error) {
+	if served := t.current.Load(); served != nil {
+		return served.handler.Share(ctx, request)
+	}
+	return nil, errNoTarget
+}
+
+// Permit implements rpc.Quarantine.
+func (t *localTarget) Permit(ctx context.Context, request *rpc.PermitRequest) (*rpc.PermitResponse, error) {
+	if served := t.current.Load(); served != nil {
+		return served.handler.Permit(ctx, request)
+	}
+	return nil, errNoTarget
+}
--- a/internal/servicelist/types.go
+++ b/internal/servicelist/types.go
@@ -11,6 +11,9 @@
 	Text      []byte
 	Measuring Measuring
 	Services  map[string]*Service
+	// Rules choose the service of a request by host and path. Without rules the host names the service.
+	Rules        RuleSet
+	CallerLimits CallerLimits
 }
 
 // Measuring is the budget for measuring and control traffic of one node.
@@ -49,6 +52,9 @@
 type Retry struct {
 	BudgetPercent int // retries per 100 first attempts; default 10
 	HedgePercent  int // hedges per 100 first attempts; default 5; 0 turns hedging off
+	// SharedBurst is the number of retries that all nodes together may send at once beyond the share; 0: each node may
+	// send the default of package budget.
+	SharedBurst int
 }
 
 // IdempotentCall reports whether a call may run more than once: GET, HEAD, OPTIONS, TRACE and the routes listed.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,14 @@
 	Seeds            []string // peer addresses asked for members and the service list after a restart in an outage
 	EntryServices    []string // services that callers reach through this node, besides its own and its dependencies
 
+	// Platform names the platform that the node runs on: PlatformOwn, or PlatformRows with the adapter in platform/.
+	Platform    string
+	CheckInAddr string // IP:port at which the local target announces itself; PlatformRows only
+	// RetryRatio and RetrySlack bound the retries of all nodes together: RetryRatio x the requests for a service and
+	// RetrySlack more in each window. PlatformRows only; 0: the defaults of the service list.
+	RetryRatio float64
+	RetrySlack int
+
 	DrainTimeout             time.Duration // longest wait for requests in flight at the end; default 30 s
 	TargetConnectTimeout     time.Duration // for a connection to the target; default 1 s
 	TargetHealthInterval     time.Duration // between two requests of the health path; default 1 s
@@ -46,6 +54,15 @@
 	PlatformOperationTimeout time.Duration // an operation at the platform with all its tries; default 15 s
 }
 
+// maxRetrySlack keeps a mistyped slack from turning the retry budget off.
+const maxRetrySlack = 1_000_000
+
+// Platforms of Settings.Platform.
+const (
+	PlatformOwn  = ""     // the product's own table and object service
+	PlatformRows = "rows" // a store of rows with a feed of changes
+)
+
 // Error reports a settings file that can't be used, with all problems found.
 type Error struct {
 	File string
@@ -83,6 +100,10 @@
 	PlatformAddr             string   `toml:"platform_addr"`
 	Seeds                    []string `toml:"seeds"`
 	EntryServices            []string `toml:"entry_services"`
+	Platform                 *string  `toml:"platform"`
+	CheckInAddr              string   `toml:"check_in_addr"`
+	RetryRatio               float64  `toml:"retry_ratio"`
+	RetrySlack               int      `toml:"retry_slack"`
 	DrainTimeout             *string  `toml:"drain_timeout"`
 	TargetConnectTimeout     *string  `toml:"target_connect_timeout"`
 	TargetHealthInterval     *string  `toml:"target_health_interval"`
@@ -122,11 +143,18 @@
 		PlatformAddr:     text.PlatformAddr,
 		Seeds:            text.Seeds,
 		EntryServices:    text.EntryServices,
+		CheckInAddr:      text.CheckInAddr,
+		RetryRatio:       text.RetryRatio,
+		RetrySlack:       text.RetrySlack,
 	}
 	if text.Name != nil {
 		loaded.Name = *text.Name
 		checkName(document, *text.Name)
 	}
+	if text.Platform != nil {
+		loaded.Platform = *text.Platform
+	}
+	checkPlatform(document, loaded)
 	checkLabels(document, loaded)
 	checkAddresses(document, loaded)
 	checkLists(document, loaded)
@@ -157,6 +185,24 @@
 	}
 }
 
+func checkPlatform(document *tomlcheck.Document, loaded *Settings) {
+	switch loaded.Platform {
+	case PlatformOwn:
+	case PlatformRows:
+		if loaded.CheckInAddr == "" {
+			document.Add(tomlcheck.Missing, tomlcheck.Key{"check_in_addr"}, "the key is required: allowed is IP:port")
+			return
+		}
+		document.CheckAddress(tomlcheck.Key{"check_in_addr"}, loaded.CheckInAddr, false)
+	default:
+		document.Add(tomlcheck.OutOfRange, tomlcheck.Key{"platform"}, "%q is not a platform: allowed is %q, or no value for the product's own", loaded.Platform, PlatformRows)
+	}
+	if loaded.RetryRatio < 0 || loaded.RetryRatio > 1 {
+		document.Add(tomlcheck.OutOfRange, tomlcheck.Key{"retry_ratio"}, "%v is out of range: allowed is 0 to 1", loaded.RetryRatio)
+	}
+	document.CheckRange(tomlcheck.Key{"retry_slack"}, loaded.RetrySlack, 0, maxRetrySlack)
+}
+
 func checkLabels(document *tomlcheck.Document, loaded *Settings) {
 	labels := []struct{ key, value string }{
 		{"service", loaded.Service},
