Record idempotent attempts by their id

Cause: the target's node dropped the attempt id of idempotent requests, so a query for one that was running found nothing. The entry node took each that ran longer than the suspect time for lost, cut it after 75 ms and retired its connections to the node. Ruled out: the retry budget itself (LOST and BUDGET broke by the repeats).

--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -80,14 +80,18 @@
 // parseCall reads the attempt and its key. The attempt id may be absent from idempotent requests.
 func (h *Handler) parseCall(r *http.Request, in *incoming) *failure.Error {
 	in.call.Idempotent = r.Header.Get(wire.Idempotent) == "1"
-	if in.call.Idempotent {
+	given := r.Header.Get(wire.AttemptHeader)
+	if in.call.Idempotent && given == "" {
 		return nil
 	}
-	id, err := wire.ParseAttemptID(r.Header.Get(wire.AttemptHeader))
+	id, err := wire.ParseAttemptID(given)
 	if err != nil {
 		return notRun(failure.BadRequest, "%v", err)
 	}
 	in.call.ID = id
+	if in.call.Idempotent {
+		return nil
+	}
 	return h.parseKey(r, in)
 }
 
