--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -29,6 +29,8 @@
 	// Keys claims Idempotency-Keys; nil refuses calls that carry one.
 	Keys    *keys.Client
 	Metrics *telemetry.Registry
+	// RequestID is the header that names a caller's request in logs; empty: requests are logged without a name.
+	RequestID string
 	// Refuse writes a failure's header in the callers' form and returns the status; nil uses the product's own form.
 	Refuse func(header http.Header, failed *failure.Error) int
 }
@@ -60,6 +62,7 @@
 	h.config.Metrics.Counter("entry.calls").Inc(1)
 	c, failed := h.newCall(request)
 	if failed != nil {
+		h.logRefusal(request, failed)
 		if failed.Reason == failure.NoServiceList && request.Header.Get(wire.IdempotencyKey) != "" {
 			failed = undecided(failed)
 		}
@@ -88,6 +91,7 @@
 func (h *Handler) answer(w http.ResponseWriter, c *call, final result) {
 	switch {
 	case final.failed != nil:
+		h.logFailure(c, final.failed)
 		h.refuse(w, final.failed)
 	case final.kept != nil:
 		replay(w, final.kept)
@@ -105,6 +109,7 @@
 	}
 	report := balance.Result{Sample: ended.sample, Latency: ended.latency}
 	if ended.failed != nil {
+		h.logAttempt(c, pick, ended.failed)
 		report.Class, report.Reason = classify(ended.failed), ended.failed.Reason
 	}
 	pick.Done(report)
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -43,6 +43,8 @@
 	MaySample func(crossesLink bool) bool
 	// Protocol adapts requests to the target and judges its answers; nil: the product's own headers.
 	Protocol TargetProtocol
+	// RequestID is the header that names a request in logs; empty: requests are logged without a name.
+	RequestID string
 	// Slots is the number of requests that the target serves at once, as it says itself; 0: as the service list says.
 	Slots int
 	// ReadAhead is the size up to which an answer is read whole before its header is passed on, so that a broken answer is
@@ -171,6 +173,7 @@
 // refuse answers with a failure.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failed *failure.Error) {
 	h.config.Metrics.Refused(role, failed.Reason)
+	h.logRefusal(r, failed)
 	h.addSample(w.Header(), r)
 	WriteRefusal(w, failed)
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -22,9 +22,13 @@
 )
 
 const (
-	// feedWait is the longest wait of one read of changes. Each read is priced, so it is long; a connection that went
-	// silent is found by the keep-alive probes of the store's client.
-	feedWait = 20 * time.Second
+	// memberWait is the longest wait of one read of member changes. Each read is priced, so it is long; a connection that
+	// went silent is found by the keep-alive probes of the store's client.
+	memberWait = 20 * time.Second
+	// listWait is the longest wait of one read of the service list. A store that was down may never answer a read that it
+	// got before, so it bounds the time after which a node follows the store again: a list must be in force within 4 s of
+	// the store's return. The follower of the members reads again when that of the list finds the store back.
+	listWait = 2500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call, which doubles and has up to half of it added at random.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
@@ -63,9 +67,11 @@
 	rows map[string]memberRow
 	list *servicelist.List
 
-	ownVersion  atomic.Uint64
-	listLoaded  atomic.Bool
-	listVersion atomic.Uint64
+	ownVersion atomic.Uint64
+	listLoaded atomic.Bool
+	// interruptMembers ends the read of member changes that is under way.
+	interruptMembers atomic.Pointer[context.CancelFunc]
+	listVersion      atomic.Uint64
 }
 
 type memberRow struct {
@@ -116,8 +122,14 @@
 // Run follows the store until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return d.follow(ctx, MembersTable, memberPause, d.applyMembers) })
-	group.Go(func() error { return d.follow(ctx, d.config.List.Table, 0, d.applyList) })
+	group.Go(func() error {
+		d.follow(ctx, followed{table: MembersTable, wait: memberWait, pause: memberPause, apply: d.applyMembers, read: &d.interruptMembers})
+		return nil
+	})
+	group.Go(func() error {
+		d.follow(ctx, followed{table: d.config.List.Table, wait: listWait, apply: d.applyList, regained: d.storeRegained})
+		return nil
+	})
 	group.Go(func() error { return d.writeOwn(ctx) })
 	group.Go(func() error {
 		for {
@@ -143,56 +155,92 @@
 	}
 }
 
-// follow reads a table and then its changes until ctx ends. whole tells apply that rows are the whole table.
-func (d *Directory) follow(
-	ctx context.Context, table string, pause time.Duration, apply func(ctx context.Context, rows []platform.FeedRow, whole bool),
-) error {
+// followed is a table that a node follows.
+type followed struct {
+	table string
+	wait  time.Duration // of one read of changes
+	pause time.Duration // after changes, so that further ones are read together
+	// apply takes over rows; whole tells that they are the whole table.
+	apply    func(ctx context.Context, rows []platform.FeedRow, whole bool)
+	regained func()                              // called when the store answers again; may be nil
+	read     *atomic.Pointer[context.CancelFunc] // set to what ends the read under way; may be nil
+}
+
+// storeRegained lets the follower of the members read again at once: a store that was down may never answer the read
+// that waits.
+func (d *Directory) storeRegained() {
+	if cancel := d.interruptMembers.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// follow reads a table and then its changes until ctx ends. After a failure it doesn't wait for changes until the store
+// has answered once: a store that comes back may not answer reads that it got while it was down.
+func (d *Directory) follow(ctx context.Context, of followed) {
 	var after uint64
-	known := false
+	known, lost := false, false
 	retry := backoff{}
-	lost := false
 	for ctx.Err() == nil {
-		var rows []platform.FeedRow
-		var version uint64
-		var err error
-		whole := !known
-		if whole {
-			rows, version, err = d.config.Store.ReadAll(ctx, table)
-		} else {
-			rows, version, err = d.config.Store.Changes(ctx, table, after, feedWait)
+		whole, wait := !known, of.wait
+		if lost {
+			wait = 0
 		}
+		rows, version, interrupted, err := d.readChanges(ctx, of, whole, after, wait)
 		var gap *platform.HistoryLostError
 		switch {
 		case ctx.Err() != nil:
-			return nil
+			return
 		case errors.As(err, &gap):
-			klog.InfoS("history lost, reading the table again", "table", table, "after", after)
+			klog.InfoS("history lost, reading the table again", "table", of.table, "after", after)
 			known = false
 			retry.wait(ctx)
 			continue
+		case err != nil && interrupted:
+			lost = true
+			continue
 		case err != nil:
 			if !lost {
-				klog.InfoS("store lost", "table", table, "after", after, "err", err.Error())
-				d.config.Metrics.Counter("store.lost." + table).Inc(1)
+				klog.InfoS("store lost", "table", of.table, "after", after, "err", err.Error())
+				d.config.Metrics.Counter("store.lost." + of.table).Inc(1)
 			}
 			lost = true
 			retry.wait(ctx)
 			continue
 		}
 		if lost {
-			klog.InfoS("store regained", "table", table, "version", version)
+			klog.InfoS("store regained", "table", of.table, "version", version)
+			if of.regained != nil {
+				of.regained()
+			}
 		}
 		lost = false
 		retry.reset()
 		known, after = true, version
 		if len(rows) > 0 || whole {
-			apply(ctx, rows, whole)
+			of.apply(ctx, rows, whole)
 		}
-		if len(rows) > 0 && pause > 0 {
-			sleep(ctx, pause)
+		if len(rows) > 0 && of.pause > 0 {
+			sleep(ctx, of.pause)
 		}
 	}
-	return nil
+}
+
+// readChanges makes one read; interrupted tells that it was ended from here.
+func (d *Directory) readChanges(
+	ctx context.Context, of followed, whole bool, after uint64, wait time.Duration,
+) (rows []platform.FeedRow, version uint64, interrupted bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if of.read != nil {
+		of.read.Store(&cancel)
+		defer of.read.Store(nil)
+	}
+	if whole {
+		rows, version, err = d.config.Store.ReadAll(ctx, of.table)
+	} else {
+		rows, version, err = d.config.Store.Changes(ctx, of.table, after, wait)
+	}
+	return rows, version, ctx.Err() != nil, err
 }
 
 func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, whole bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,8 @@
 	Callers(service string, next http.Handler) http.Handler
 	// Refuse writes the header of a failure in the callers' form and returns its status.
 	Refuse(header http.Header, failed *failure.Error) int
+	// RequestID is the header by which callers name a request.
+	RequestID() string
 	// Target returns the protocol of the target with that id.
 	Target(id string) inbound.TargetProtocol
 	// CheckIns serves the announcements of the local target.
@@ -114,6 +116,7 @@
 		Attempts:  n.peers.AttemptsOnNewConnection,
 		Metrics:   n.metrics,
 		Refuse:    on.Refuse,
+		RequestID: on.RequestID(),
 	})
 	n.target = &localTarget{node: n}
 	if err := n.listen(); err != nil {
@@ -143,6 +146,7 @@
 		Metrics:    n.metrics,
 		Peers:      quarantine.NewPeers(n.view, n.peers.Kept),
 		Protocol:   n.platform.Target(announced.TargetID),
+		RequestID:  n.platform.RequestID(),
 		Slots:      announced.Slots,
 		ReadAhead:  readAheadBytes,
 	})
