Order the target's queue by priority and by what can still be in time

Cause: the queue was in order of arrival. Now priority goes first, then what can still meet its aim with the earliest aim first, then the rest; a full queue gives up its last waiter for one that ranks before it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,5 @@
-// Package admission grants the slots of the local target. A short queue in order of arrival holds requests while no slot
-// is free; requests whose deadline can't be met are refused before they are queued, or dropped from the queue.
+// Package admission grants the slots of the local target. A short queue, ordered by what is still worth serving, holds
+// requests while no slot is free; requests whose deadline can't be met are refused before they are queued, or dropped from the queue.
 package admission
 
 import (
@@ -37,19 +37,12 @@
 	inFlight int
 	alone    bool // the request in flight runs alone
 	aloneHas bool // a request runs alone or waits to
-	queue    []*waiter
+	queue    queue
 	times    estimator
 	draining bool
 	idle     chan struct{} // closed when nothing is in flight or queued; nil when nobody waits
 }
 
-// waiter is a queued request. Its fields are guarded by the gate's mutex.
-type waiter struct {
-	alone    bool
-	deadline time.Time
-	verdict  chan verdict // holds one value
-}
-
 // verdict ends the wait of a queued request.
 type verdict struct {
 	slot    *Slot
@@ -60,6 +53,7 @@
 type Slot struct {
 	gate    *Gate
 	alone   bool
+	kind    string
 	load    int // requests at the target including this one, at the start
 	started time.Time
 }
@@ -94,56 +88,80 @@
 // Acquire waits for a slot until the deadline can no longer be met. The error's outcome is always not-run; its reason is
 // draining, queue-full, deadline-unreachable, deadline-exceeded or caller-gone.
 func (g *Gate) Acquire(ctx context.Context, deadline time.Time) (*Slot, *failure.Error) {
-	return g.acquire(ctx, deadline, false)
+	return g.Enter(ctx, Request{Deadline: deadline})
 }
 
 // AcquireAlone waits at most AloneWait for a slot with no other request at the target. Requests that arrive later wait
 // behind it; a second request that must run alone is refused while one waits or runs.
 func (g *Gate) AcquireAlone(ctx context.Context, deadline time.Time) (*Slot, *failure.Error) {
-	return g.acquire(ctx, deadline, true)
+	return g.Enter(ctx, Request{Deadline: deadline, Alone: true})
 }
 
-func (g *Gate) acquire(ctx context.Context, deadline time.Time, alone bool) (*Slot, *failure.Error) {
+// Enter waits for a slot like Acquire or, for a request that must run alone, like AcquireAlone. When the queue is full, a
+// request that ranks before the last one in it takes its place.
+func (g *Gate) Enter(ctx context.Context, request Request) (*Slot, *failure.Error) {
 	now := time.Now()
+	w := &waiter{Request: request, verdict: make(chan verdict, 1)}
 	g.mu.Lock()
-	if refused := g.refuse(now, deadline, alone); refused != nil {
+	w.takes = g.times.of(request.Kind, g.limits.Slots)
+	if refused := g.refuse(now, w); refused != nil {
 		g.mu.Unlock()
 		return nil, refused
 	}
-	g.aloneHas = g.aloneHas || alone
-	if len(g.queue) == 0 && g.free(alone) {
-		slot := g.start(alone, now)
+	g.aloneHas = g.aloneHas || w.Alone
+	if len(g.queue.waiters) == 0 && g.free(w.Alone) {
+		slot := g.start(w, now)
 		g.mu.Unlock()
 		return slot, nil
 	}
-	w := &waiter{alone: alone, deadline: deadline, verdict: make(chan verdict, 1)}
-	g.queue = append(g.queue, w)
+	if len(g.queue.waiters) >= g.limits.Queue && !w.Alone {
+		g.displace(now)
+	}
+	g.queue.add(w)
 	patience := g.patience(now, w)
 	g.mu.Unlock()
 	return g.wait(ctx, w, patience)
 }
 
+// displace refuses the waiter that would get a slot last. The mutex is held.
+func (g *Gate) displace(now time.Time) {
+	if last := g.queue.last(now); last >= 0 {
+		out := g.queue.remove(last)
+		out.verdict <- verdict{refused: failure.New(failure.QueueFull, failure.NotRun, "a request of priority %d took the place", out.Priority)}
+	}
+}
+
 // refuse tells why a request can't be queued or started.
-func (g *Gate) refuse(now, deadline time.Time, alone bool) *failure.Error {
-	left := deadline.Sub(now)
+func (g *Gate) refuse(now time.Time, w *waiter) *failure.Error {
+	left := w.Deadline.Sub(now)
 	switch {
 	case g.draining:
 		return failure.New(failure.Draining, failure.NotRun, "the target is draining")
 	case left <= 0:
 		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the deadline has passed")
-	case alone && g.aloneHas:
+	case w.Alone && g.aloneHas:
 		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
-	case len(g.queue) == 0 && g.free(alone):
+	case len(g.queue.waiters) == 0 && g.free(w.Alone):
 		return nil
-	case len(g.queue) >= g.limits.Queue && !alone:
-		return failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(g.queue))
+	case len(g.queue.waiters) >= g.limits.Queue && !w.Alone && !g.outranksLast(w, now):
+		return failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(g.queue.waiters))
 	}
-	if need := g.expected(len(g.queue)); left < need {
+	if need := g.expected(g.queue.ahead(w, now), w.takes); left < need {
 		return failure.New(failure.DeadlineUnreachable, failure.NotRun, "%v are left, %v are needed", left, need)
 	}
 	return nil
 }
 
+// outranksLast reports whether w may take the place of the waiter that would get a slot last.
+func (g *Gate) outranksLast(w *waiter, now time.Time) bool {
+	last := g.queue.last(now)
+	if last < 0 {
+		return false
+	}
+	w.arrival = g.queue.arrivals + 1
+	return w.before(g.queue.waiters[last], now)
+}
+
 // free reports whether a request may start now.
 func (g *Gate) free(alone bool) bool {
 	if alone {
@@ -152,25 +170,26 @@
 	return !g.alone && g.inFlight < g.limits.Slots
 }
 
-// expected is the estimated time to the answer's end for a request behind the given number of queued ones.
-func (g *Gate) expected(ahead int) time.Duration {
+// expected is the estimated time to the answer's end for a request that takes the given time once it runs, behind the
+// given number of queued ones.
+func (g *Gate) expected(ahead int, takes time.Duration) time.Duration {
 	typical := g.times.at(g.limits.Slots)
-	return typical + typical*time.Duration(ahead+1)/time.Duration(g.limits.Slots)
+	return takes + typical*time.Duration(ahead+1)/time.Duration(g.limits.Slots)
 }
 
 // patience is the time after which a queued request can no longer be answered in time.
 func (g *Gate) patience(now time.Time, w *waiter) time.Duration {
-	left := w.deadline.Sub(now) - g.times.at(g.limits.Slots)
-	if w.alone {
+	left := w.Deadline.Sub(now) - w.takes
+	if w.Alone {
 		left = min(left, AloneWait)
 	}
 	return left
 }
 
-func (g *Gate) start(alone bool, now time.Time) *Slot {
+func (g *Gate) start(w *waiter, now time.Time) *Slot {
 	g.inFlight++
-	g.alone = alone
-	return &Slot{gate: g, alone: alone, load: g.inFlight, started: now}
+	g.alone = w.Alone
+	return &Slot{gate: g, alone: w.Alone, kind: w.Kind, load: g.inFlight, started: now}
 }
 
 // wait blocks until the waiter gets a slot, runs out of patience or is dropped.
@@ -201,28 +220,22 @@
 func (g *Gate) leave(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, queued := range g.queue {
-		if queued != w {
-			continue
-		}
-		g.queue = append(g.queue[:i], g.queue[i+1:]...)
-		g.aloneHas = g.aloneHas && !w.alone
-		g.grant()
-		return true
+	if !g.queue.leave(w) {
+		return false
 	}
-	return false
+	g.aloneHas = g.aloneHas && !w.Alone
+	g.grant()
+	return true
 }
 
-// grant starts queued requests in order of arrival while slots are free, and drops those that are too late.
+// grant starts queued requests while slots are free, and drops those that are too late.
 func (g *Gate) grant() {
 	now := time.Now()
-	for len(g.queue) > 0 && g.free(g.queue[0].alone) {
-		w := g.queue[0]
-		g.queue[0] = nil
-		g.queue = g.queue[1:]
+	for next := g.queue.next(now); next >= 0 && g.free(g.queue.waiters[next].Alone); next = g.queue.next(now) {
+		w := g.queue.remove(next)
 		w.verdict <- g.decide(w, now)
 	}
-	if g.idle != nil && g.inFlight == 0 && len(g.queue) == 0 {
+	if g.idle != nil && g.inFlight == 0 && len(g.queue.waiters) == 0 {
 		close(g.idle)
 		g.idle = nil
 	}
@@ -230,11 +243,12 @@
 
 // decide starts a request that came to its turn, unless its deadline became unreachable meanwhile.
 func (g *Gate) decide(w *waiter, now time.Time) verdict {
-	if w.deadline.Sub(now) < g.times.at(g.limits.Slots) {
-		g.aloneHas = g.aloneHas && !w.alone
+	w.takes = g.times.of(w.Kind, g.limits.Slots)
+	if w.Deadline.Sub(now) < w.takes {
+		g.aloneHas = g.aloneHas && !w.Alone
 		return verdict{refused: unreachable()}
 	}
-	return verdict{slot: g.start(w.alone, now)}
+	return verdict{slot: g.start(w, now)}
 }
 
 // Release gives the slot back. A completed request adds to the estimate of service times.
@@ -248,7 +262,7 @@
 		g.aloneHas = false
 	}
 	if completed {
-		g.times.record(s.load, time.Since(s.started))
+		g.times.record(s.kind, s.load, time.Since(s.started))
 	}
 	g.grant()
 }
@@ -258,8 +272,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	latency := g.times.at(g.inFlight + 1)
-	if g.inFlight >= g.limits.Slots || len(g.queue) > 0 || g.alone {
-		latency = g.expected(len(g.queue))
+	queued := len(g.queue.waiters)
+	if g.inFlight >= g.limits.Slots || queued > 0 || g.alone {
+		latency = g.expected(queued, g.times.at(g.limits.Slots))
 	}
-	return wire.LoadSample{InFlight: g.inFlight, Queued: len(g.queue), Latency: latency, Draining: g.draining}
+	return wire.LoadSample{InFlight: g.inFlight, Queued: queued, Latency: latency, Draining: g.draining}
 }
--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -47,10 +47,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	refused := failure.New(failure.Draining, failure.NotRun, "the target is draining")
-	for _, w := range g.queue {
-		g.aloneHas = g.aloneHas && !w.alone
+	for _, w := range g.queue.waiters {
+		g.aloneHas = g.aloneHas && !w.Alone
 		w.verdict <- verdict{refused: refused}
 	}
-	g.queue = nil
+	g.queue.waiters = nil
 	g.grant()
 }
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -9,10 +9,40 @@
 type estimator struct {
 	// byLoad[n-1] is the average in nanoseconds at concurrency n, or 0 when nothing was measured there.
 	byLoad []float64
+	// byKind is the average in nanoseconds of each kind of request.
+	byKind map[string]float64
+}
+
+// maxKinds bounds the kinds that are told apart; further ones count like requests without a kind.
+const maxKinds = 1024
+
+// of returns the average of a kind, or that at concurrency n when the kind is not known yet.
+func (e *estimator) of(kind string, n int) time.Duration {
+	if known, ok := e.byKind[kind]; ok {
+		return time.Duration(known)
+	}
+	return e.at(n)
+}
+
+func (e *estimator) recordKind(kind string, took time.Duration) {
+	if kind == "" {
+		return
+	}
+	old, ok := e.byKind[kind]
+	switch {
+	case ok:
+		e.byKind[kind] = old + weight*(float64(took)-old)
+	case len(e.byKind) < maxKinds:
+		if e.byKind == nil {
+			e.byKind = map[string]float64{}
+		}
+		e.byKind[kind] = float64(took)
+	}
 }
 
 // record adds the service time of a request that started as the nth one at the target.
-func (e *estimator) record(n int, took time.Duration) {
+func (e *estimator) record(kind string, n int, took time.Duration) {
+	e.recordKind(kind, took)
 	for len(e.byLoad) < n {
 		e.byLoad = append(e.byLoad, 0)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -116,6 +116,9 @@
 	if a.call.idempotent {
 		header.Set(wire.Idempotent, "1")
 	}
+	if rule := a.call.rule; rule != nil {
+		header.Set(wire.Rank, wire.FormatRank(rule.Name, rule.Priority, a.call.aimLeft()))
+	}
 	if a.member.Region != a.call.snapshot.Self.Region {
 		header.Set(wire.Link, "1")
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -30,6 +30,7 @@
 	idempotent bool
 	key        string
 	deadline   time.Time
+	aim        time.Time // until then an answer has its full worth; zero: unknown
 	depth      int
 	sends      int      // sends so far, over all layers
 	reached    int      // sends that a target may have seen
@@ -111,6 +112,9 @@
 	}
 	if c.rule != nil {
 		timeout = min(timeout, c.rule.Timeout)
+		if c.rule.TargetLatency > 0 {
+			c.aim = time.Now().Add(c.rule.TargetLatency)
+		}
 	}
 	c.deadline = time.Now().Add(timeout)
 	if c.depth, err = wire.ParseDepth(c.request.Header); err != nil {
@@ -159,6 +163,14 @@
 // left is the time until the deadline.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
+// aimLeft is the time until which an answer has its full worth; 0: unknown or past.
+func (c *call) aimLeft() time.Duration {
+	if c.aim.IsZero() {
+		return 0
+	}
+	return max(0, time.Until(c.aim))
+}
+
 // withDeadline returns a context that ends at the deadline or when the caller goes away.
 func (c *call) withDeadline() (context.Context, context.CancelFunc) {
 	return context.WithDeadline(c.request.Context(), c.deadline)
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -94,11 +94,9 @@
 
 func (e *exchange) acquire(ctx context.Context) *failure.Error {
 	var refused *failure.Error
-	if e.pass.Alone() {
-		e.slot, refused = e.handler.gate.AcquireAlone(ctx, e.in.deadline)
-	} else {
-		e.slot, refused = e.handler.gate.Acquire(ctx, e.in.deadline)
-	}
+	rank := e.in.rank
+	rank.Alone = e.pass.Alone()
+	e.slot, refused = e.handler.gate.Enter(ctx, rank)
 	return refused
 }
 
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/acacialock/acacialock/internal/admission"
 	"github.com/acacialock/acacialock/internal/attempt"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/keys"
@@ -23,6 +24,7 @@
 type incoming struct {
 	call     attempt.Call
 	deadline time.Time
+	rank     admission.Request
 	url      *url.URL // as the caller sent it: path and query
 }
 
@@ -45,6 +47,14 @@
 	if in.url = originalURL(r.URL); in.url == nil {
 		return nil, notRun(failure.BadRequest, "path %q does not start with %s", r.URL.Path, wire.ForwardPath)
 	}
+	in.rank = admission.Request{Deadline: in.deadline}
+	if text := r.Header.Get(wire.Rank); text != "" {
+		kind, priority, aim, err := wire.ParseRank(text)
+		if err != nil {
+			return nil, notRun(failure.BadRequest, "%v", err)
+		}
+		in.rank.Kind, in.rank.Priority, in.rank.Aim = kind, priority, time.Now().Add(aim)
+	}
 	if refused := h.parseCall(r, in); refused != nil {
 		return nil, refused
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,6 +31,7 @@
 	Idempotent    = "Acacialock-Idempotent"  // "1" when the attempt may run more than once
 	KeyOwner      = "Acacialock-Key-Owner"   // member id of the owner that granted the attempt
 	RosterVersion = "Acacialock-Roster"      // roster version of the grant
+	Rank          = "Acacialock-Rank"        // kind, priority and time left for an answer of full worth; see FormatRank
 	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
@@ -120,6 +121,27 @@
 	}, nil
 }
 
+// FormatRank encodes how a request ranks among others: the kind that its time is learned by, its priority, and the time in
+// milliseconds until which an answer has its full worth; 0 or less: it is past.
+func FormatRank(kind string, priority int, aim time.Duration) string {
+	return fmt.Sprintf("%d,%d,%s", priority, aim.Milliseconds(), kind)
+}
+
+// ParseRank decodes the form that FormatRank gives.
+func ParseRank(text string) (kind string, priority int, aim time.Duration, err error) {
+	wrong := &HeaderError{Name: Rank, Value: text, Want: "a priority, milliseconds and a kind, separated by commas"}
+	fields := strings.SplitN(text, ",", 3)
+	if len(fields) != 3 {
+		return "", 0, 0, wrong
+	}
+	priority, err = strconv.Atoi(fields[0])
+	ms, msErr := strconv.ParseInt(fields[1], 10, 32)
+	if err != nil || msErr != nil {
+		return "", 0, 0, wrong
+	}
+	return fields[2], priority, time.Duration(ms) * time.Millisecond, nil
+}
+
 // ParseTimeout reads the TimeoutMS header; absent gives 0.
 func ParseTimeout(header http.Header) (time.Duration, error) {
 	text := header.Get(TimeoutMS)
