Stay in the region while it has a member that answers

Ruled out: choosing the other region by the wait saved, since nothing fresh is known of its members.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -7,8 +7,9 @@
 	p.survey(now)
 	allowed := p.allowed[:0]
 	healthy := p.healthy[:0]
+	stay := p.config.StayInRegion && p.regionAnswers(now)
 	for _, candidate := range p.peers {
-		if !request.allows(&candidate.member) || candidate.draining {
+		if !request.allows(&candidate.member) || candidate.draining || stay && candidate.distance == otherRegion {
 			continue
 		}
 		allowed = append(allowed, candidate)
@@ -30,6 +31,16 @@
 	return p.nearest(p.keepRegion(healthy, allowed, now), now)
 }
 
+// regionAnswers reports whether a member of the own region looks alive, be it full or already tried for the call.
+func (p *Pool) regionAnswers(now time.Time) bool {
+	for _, candidate := range p.peers {
+		if candidate.distance != otherRegion && !candidate.gone() && !now.Before(candidate.failedUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) looksHealthy(candidate *peer, now time.Time) bool {
 	return !now.Before(candidate.failedUntil) && !now.Before(candidate.refusedUntil) && candidate.ejection.admits(now)
 }
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -28,6 +28,10 @@
 	Bytes *budget.Bytes
 	// LinkRoom reports whether the paid link has capacity for more calls; nil means that it always has.
 	LinkRoom func() bool
+	// StayInRegion keeps calls from the paid link while the own region has a member that answers. It answers the load of a
+	// burst in all regions: full targets here then sent their excess to full targets there, which paid the link for calls
+	// that were late or refused all the same. Without it a call crosses when the wait saved exceeds the link's delay.
+	StayInRegion bool
 	// ZoneDelay and RegionDelay are the one-way delays to another zone and another region; 0 means 1 ms and 30 ms.
 	ZoneDelay, RegionDelay time.Duration
 	// Seed makes the choices repeatable; 0 draws one.
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -22,8 +22,8 @@
 	// Transport drops its connections to nodes that left.
 	Transport *forward.Transport
 	Metrics   *telemetry.Registry
-	// LinkRoom reports whether calls may cross to another region; nil: always.
-	LinkRoom func() bool
+	// StayInRegion is that of balance.Config.
+	StayInRegion bool
 }
 
 // Policies holds a balancer, a retry budget and a hedge budget for each service that the node reaches. Safe for
@@ -114,13 +114,13 @@
 
 func (p *Policies) newPolicy(service *servicelist.Service) *Policy {
 	pool := balance.NewPool(balance.Config{
-		Service:  service.Name,
-		Self:     p.config.Self,
-		Slots:    service.Limits.Slots,
-		Probe:    p.config.Probe,
-		Bytes:    p.config.Bytes,
-		Metrics:  p.config.Metrics,
-		LinkRoom: p.config.LinkRoom,
+		Service:      service.Name,
+		Self:         p.config.Self,
+		Slots:        service.Limits.Slots,
+		Probe:        p.config.Probe,
+		Bytes:        p.config.Bytes,
+		Metrics:      p.config.Metrics,
+		StayInRegion: p.config.StayInRegion,
 	})
 	pool.Update(p.seen.Load().Members[service.Name])
 	retry := budget.NewRatio(service.Retry.BudgetPercent, nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,8 @@
 		Bytes:     budget.NewBytes(budget.Limits{}, nil),
 		Transport: n.transport,
 		Metrics:   n.metrics,
+
+		StayInRegion: true,
 	})
 	n.entry = entry.New(entry.Config{
 		View:      n.view,
