--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -127,7 +127,8 @@
 func (g *Gate) displace(now time.Time) {
 	if last := g.queue.last(now); last >= 0 {
 		out := g.queue.remove(last)
-		out.verdict <- verdict{refused: failure.New(failure.QueueFull, failure.NotRun, "a request of priority %d took the place", out.Priority)}
+		refused := failure.New(failure.QueueFull, failure.NotRun, "a request that ranks before took the place")
+		out.verdict <- verdict{refused: g.comeBack(refused)}
 	}
 }
 
@@ -144,14 +145,20 @@
 	case len(g.queue.waiters) == 0 && g.free(w.Alone):
 		return nil
 	case len(g.queue.waiters) >= g.limits.Queue && !w.Alone && !g.outranksLast(w, now):
-		return failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(g.queue.waiters))
+		return g.comeBack(failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(g.queue.waiters)))
 	}
 	if need := g.expected(g.queue.ahead(w, now), w.takes); left < need {
-		return failure.New(failure.DeadlineUnreachable, failure.NotRun, "%v are left, %v are needed", left, need)
+		return g.comeBack(failure.New(failure.DeadlineUnreachable, failure.NotRun, "%v are left, %v are needed", left, need))
 	}
 	return nil
 }
 
+// comeBack adds the time after which the requests that wait now will have started.
+func (g *Gate) comeBack(refused *failure.Error) *failure.Error {
+	refused.RetryAfter = g.expected(len(g.queue.waiters), 0)
+	return refused
+}
+
 // outranksLast reports whether w may take the place of the waiter that would get a slot last.
 func (g *Gate) outranksLast(w *waiter, now time.Time) bool {
 	last := g.queue.last(now)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -164,9 +164,19 @@
 	a.cancel()
 	ended.response = nil
 	ended.failed = failure.New(failure.Reason(reason), outcome, "refused by node %s", a.member.ID)
+	ended.failed.RetryAfter = retryAfter(response.Header)
 	return ended
 }
 
+// retryAfter is the time that a node names for another try; 0 when it names none.
+func retryAfter(header http.Header) time.Duration {
+	ms, err := strconv.ParseUint(header.Get(wire.RetryAfterMS), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // abandoned ends an attempt whose deadline passed or whose caller or call went away.
 func (a *attempt) abandoned(ctx context.Context, arrived chan arrival) result {
 	defer a.discard(arrived)
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -185,7 +185,7 @@
 	header.Set(wire.Outcome, string(failed.Outcome))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(failed.RetryAfter.Seconds())))
+		header.Set(wire.RetryAfterMS, strconv.FormatInt(failed.RetryAfter.Milliseconds(), 10))
 	}
 	w.WriteHeader(failed.Status())
 	_, _ = w.Write([]byte(failed.Detail + "\n")) // the entry node may have gone away
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,9 @@
 	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
+// RetryAfterMS is the time in milliseconds after which a refused request may succeed; on refusals between nodes.
+const RetryAfterMS = "Acacialock-Retry-After-Ms"
+
 // NotAfter tells the target the Unix time in milliseconds after which it must not start the request.
 const NotAfter = "Acacialock-Not-After"
 
