Learn whether targets slow down when nearly full, and share it

A node tries four fifths of the slots by turns with all of them and keeps what has the higher throughput; the members' rows carry the finding, and a majority of three or more replaces the own one, also after a restart.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -39,6 +39,10 @@
 	aloneHas bool // a request runs alone or waits to
 	queue    queue
 	times    estimator
+	full     saturation
+	agreed   int       // limit that the service's targets agree on; 0: none
+	decided  int       // the own decision that was reported last; 0: none
+	coldTill time.Time // until then service times say nothing about the load
 	draining bool
 	idle     chan struct{} // closed when nothing is in flight or queued; nil when nobody waits
 }
@@ -85,6 +89,35 @@
 	g.grant()
 }
 
+// SetAgreed sets the number of requests at the target at once that the targets of its service agree on; 0: none.
+func (g *Gate) SetAgreed(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.agreed != limit {
+		g.agreed = limit
+		g.grant()
+	}
+}
+
+// Decided returns the number of requests at once up to which the target is found not to slow down, and true when that is
+// new since the last call.
+func (g *Gate) Decided() (int, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.full.settled || g.full.upper == g.decided {
+		return g.decided, false
+	}
+	g.decided = g.full.upper
+	return g.decided, true
+}
+
+// SetCold tells that the target is slow for a while after its start.
+func (g *Gate) SetCold(remaining time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.coldTill = time.Now().Add(remaining)
+}
+
 // Acquire waits for a slot until the deadline can no longer be met. The error's outcome is always not-run; its reason is
 // draining, queue-full, deadline-unreachable, deadline-exceeded or caller-gone.
 func (g *Gate) Acquire(ctx context.Context, deadline time.Time) (*Slot, *failure.Error) {
@@ -103,7 +136,7 @@
 	now := time.Now()
 	w := &waiter{Request: request, verdict: make(chan verdict, 1)}
 	g.mu.Lock()
-	w.takes = g.times.of(request.Kind, g.limits.Slots)
+	w.takes = g.times.of(request.Kind, g.slots())
 	if refused := g.refuse(now, w); refused != nil {
 		g.mu.Unlock()
 		return nil, refused
@@ -174,14 +207,22 @@
 	if alone {
 		return g.inFlight == 0
 	}
-	return !g.alone && g.inFlight < g.limits.Slots
+	return !g.alone && g.inFlight < g.slots()
+}
+
+// slots is the number of requests that may be at the target at once.
+func (g *Gate) slots() int {
+	if g.agreed > 0 && g.agreed <= g.limits.Slots {
+		return g.agreed
+	}
+	return g.full.allowed(g.limits.Slots)
 }
 
 // expected is the estimated time to the answer's end for a request that takes the given time once it runs, behind the
 // given number of queued ones.
 func (g *Gate) expected(ahead int, takes time.Duration) time.Duration {
-	typical := g.times.at(g.limits.Slots)
-	return takes + typical*time.Duration(ahead+1)/time.Duration(g.limits.Slots)
+	typical := g.times.at(g.slots())
+	return takes + typical*time.Duration(ahead+1)/time.Duration(g.slots())
 }
 
 // patience is the time after which a queued request can no longer be answered in time.
@@ -250,7 +291,7 @@
 
 // decide starts a request that came to its turn, unless its deadline became unreachable meanwhile.
 func (g *Gate) decide(w *waiter, now time.Time) verdict {
-	w.takes = g.times.of(w.Kind, g.limits.Slots)
+	w.takes = g.times.of(w.Kind, g.slots())
 	if w.Deadline.Sub(now) < w.takes {
 		g.aloneHas = g.aloneHas && !w.Alone
 		return verdict{refused: unreachable()}
@@ -263,6 +304,13 @@
 	g := s.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// A request that was cut after more than the usual time counts with the time that it ran: without these, the times of an
+	// overloaded target are those of its fastest requests.
+	now := time.Now()
+	long := now.Sub(s.started) >= g.times.of(s.kind, s.load)
+	if (completed || long) && s.kind != "" && now.After(g.coldTill) {
+		g.full.record(s.kind, s.load, now.Sub(s.started), g.limits.Slots, now)
+	}
 	g.inFlight--
 	if s.alone {
 		g.alone = false
@@ -280,8 +328,8 @@
 	defer g.mu.Unlock()
 	latency := g.times.at(g.inFlight + 1)
 	queued := len(g.queue.waiters)
-	if g.inFlight >= g.limits.Slots || queued > 0 || g.alone {
-		latency = g.expected(queued, g.times.at(g.limits.Slots))
+	if g.inFlight >= g.slots() || queued > 0 || g.alone {
+		latency = g.expected(queued, g.times.at(g.slots()))
 	}
 	return wire.LoadSample{InFlight: g.inFlight, Queued: queued, Latency: latency, Draining: g.draining}
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -16,6 +16,8 @@
 	Region   string
 	PeerAddr string // host:port of the peer listener
 	Draining bool
+	// FullSpeed is the number of requests at once up to which the target is found not to slow down; 0: not known.
+	FullSpeed int `json:",omitempty"`
 }
 
 // Snapshot is one state of the system as a node knows it. It is never changed after publication.
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -143,6 +143,7 @@
 		return
 	}
 	slot.Release(complete)
+	e.handler.shareFullSpeed()
 }
 
 // targetContext ends at the deadline, and for idempotent requests also when the caller leaves. Others go on to their
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -47,6 +47,11 @@
 	RequestID string
 	// Slots is the number of requests that the target serves at once, as it says itself; 0: as the service list says.
 	Slots int
+	// OnFullSpeed is called when the number of requests at once up to which the target does not slow down is found; nil:
+	// it is not shared.
+	OnFullSpeed func(requests int)
+	// Cold is how much longer the target is slow after its start.
+	Cold time.Duration
 	// ReadAhead is the size up to which an answer is read whole before its header is passed on, so that a broken answer is
 	// a failure that may be repeated; 0: answers are passed on as they come.
 	ReadAhead int
@@ -71,6 +76,7 @@
 	gate    *admission.Gate
 	ledger  *attempt.Ledger
 	guard   *quarantine.Guard
+	seen    atomic.Pointer[cluster.Snapshot]
 	service atomic.Pointer[servicelist.Service] // whose limits are in force
 	target  atomic.Pointer[target]
 	hint    atomic.Int64 // Unix nanoseconds of the target's last hint that it drains; 0: none
@@ -94,6 +100,7 @@
 			Metrics:    config.Metrics,
 		}),
 	}
+	h.gate.SetCold(config.Cold)
 	h.target.Store(newTarget(config.TargetAddr, h.guard.Dial, DefaultConnections))
 	return h
 }
@@ -141,9 +148,32 @@
 	return newExchange(h, w, r, in, recorded, body).run()
 }
 
+// votes are what the service's members found about their targets.
+func (h *Handler) votes(snapshot *cluster.Snapshot) []int {
+	var votes []int
+	for _, member := range snapshot.Members[h.config.Self.Service] {
+		votes = append(votes, member.FullSpeed)
+	}
+	return votes
+}
+
+// shareFullSpeed reports a new finding about the target.
+func (h *Handler) shareFullSpeed() {
+	if h.config.OnFullSpeed == nil {
+		return
+	}
+	if requests, found := h.gate.Decided(); found {
+		h.config.OnFullSpeed(requests)
+	}
+}
+
 // applyLimits takes over changed limits of the service list.
 func (h *Handler) applyLimits() {
-	service := h.config.View.Load().Service(h.config.Self.Service)
+	snapshot := h.config.View.Load()
+	if h.seen.Swap(snapshot) != snapshot {
+		h.gate.SetAgreed(admission.Agreed(h.votes(snapshot)))
+	}
+	service := snapshot.Service(h.config.Self.Service)
 	known := h.service.Load()
 	if service == nil || service == known || !h.service.CompareAndSwap(known, service) {
 		return
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -26,11 +26,12 @@
 type localTarget struct {
 	node *Node
 
-	mu      sync.Mutex // held while an announcement is applied
-	state   targetState
-	pending *CheckIn // newest check-in that came before the members were loaded
-	loaded  bool
-	boots   int // handlers started by this process
+	mu        sync.Mutex // held while an announcement is applied
+	state     targetState
+	pending   *CheckIn // newest check-in that came before the members were loaded
+	loaded    bool
+	fullSpeed int // see cluster.Member; 0: not known
+	boots     int // handlers started by this process
 
 	current  atomic.Pointer[boot]
 	previous atomic.Pointer[boot]
@@ -92,6 +93,7 @@
 			gone:     earlier.Gone,
 		}
 	}
+	t.fullSpeed = earlier.Member.FullSpeed
 	t.loaded = true
 	if t.pending != nil {
 		t.apply(t.pending)
@@ -142,6 +144,15 @@
 	}
 }
 
+// foundFullSpeed tells the other nodes up to how many requests at once the target does not slow down.
+func (t *localTarget) foundFullSpeed(requests int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	klog.InfoS("target's load at full speed found", "target", t.state.id, "requests", requests)
+	t.fullSpeed = requests
+	t.announce()
+}
+
 // announce tells the other nodes. The mutex is held.
 func (t *localTarget) announce() {
 	member := t.node.self
@@ -149,6 +160,7 @@
 		member = served.member
 	}
 	member.Draining = t.state.draining
+	member.FullSpeed = t.fullSpeed
 	t.node.directory.Announce(membership.Row{
 		Member: member,
 		Target: membership.TargetBoot{ID: t.state.id, Born: t.state.born, Sequence: t.state.sequence},
