Answer all calls before a stopping node ends

Now calls that arrive while the node stops get a deadline before its end, and the rest get their failure 250 ms before it: not-run where a fence proves it, else unknown.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -180,6 +180,9 @@
 // abandoned ends an attempt whose deadline passed or whose caller or call went away.
 func (a *attempt) abandoned(ctx context.Context, arrived chan arrival) result {
 	defer a.discard(arrived)
+	if a.handler.stopped.Err() != nil && a.call.request.Context().Err() == nil {
+		return a.stopped(ctx)
+	}
 	if ctx.Err() == context.Canceled || a.call.idempotent {
 		reason := failure.CallerGone
 		if ctx.Err() == context.DeadlineExceeded {
@@ -190,6 +193,17 @@
 	return a.settle(context.WithoutCancel(ctx), failure.DeadlineExceeded)
 }
 
+// stopped ends an attempt because the node stops.
+func (a *attempt) stopped(ctx context.Context) result {
+	outcome := failure.Unknown
+	if !a.call.idempotent {
+		if state, err := a.ask(context.WithoutCancel(ctx), false); err == nil && state == rpc.AttemptState_ATTEMPT_NOT_RUN {
+			outcome = failure.NotRun
+		}
+	}
+	return result{failed: failure.New(failure.Draining, outcome, "this node stops before node %s has answered", a.member.ID)}
+}
+
 // discard cancels the round trip and closes an answer that comes late.
 func (a *attempt) discard(arrived chan arrival) {
 	a.cancel()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -67,6 +67,9 @@
 		return nil, failure.Wrap(err, failure.BadRequest, failure.NotRun, "the request body ended early")
 	}
 	created.body = body
+	if by := h.stopBy.Load(); by != nil && by.Before(created.deadline) {
+		created.deadline = *by
+	}
 	return created, nil
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/balance"
@@ -39,11 +40,23 @@
 type Handler struct {
 	config    Config
 	latencies *latencies
+	// stopped ends when calls must have their answer because the node stops; stopBy is set before.
+	stopped context.Context
+	stop    context.CancelFunc
+	stopBy  atomic.Pointer[time.Time]
 }
 
 // New returns a handler.
 func New(config Config) *Handler {
-	return &Handler{config: config, latencies: newLatencies()}
+	stopped, stop := context.WithCancel(context.Background())
+	return &Handler{config: config, latencies: newLatencies(), stopped: stopped, stop: stop}
+}
+
+// StopBy gives every call an answer by that time: later calls get an earlier deadline, and calls that still run then end
+// with a failure. Otherwise the node's end would close their connections without an answer.
+func (h *Handler) StopBy(at time.Time) {
+	h.stopBy.Store(&at)
+	time.AfterFunc(time.Until(at), h.stop)
 }
 
 // ServeHTTP serves one caller's request.
@@ -71,6 +84,7 @@
 	}
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	defer context.AfterFunc(h.stopped, cancel)()
 	h.answer(w, c, h.dispatch(ctx, c, mayRelay))
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -112,7 +112,7 @@
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
 		c.reached++
 	}
-	if !repeatable(c, failed) || c.sends >= maxSends || c.reached >= c.maxReached() || c.left() <= 0 {
+	if h.stopped.Err() != nil || !repeatable(c, failed) || c.sends >= maxSends || c.reached >= c.maxReached() || c.left() <= 0 {
 		return false
 	}
 	if !c.body.replayable() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,10 @@
 	// apart, and one in flight.
 	callersLeave = 3 * time.Second
 	// exitMargin is left of the drain timeout for the end of the process.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 700 * time.Millisecond
+	// answerMargin is left before that for the answers of calls that are given up because the node stops. It covers a
+	// question to a target's node.
+	answerMargin = 250 * time.Millisecond
 	// leaveTimeout bounds the removal of the own row at the end.
 	leaveTimeout = 500 * time.Millisecond
 	// readHeaderTimeout is above the longest time that operators allow callers for a header.
@@ -273,8 +276,10 @@
 	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.left())
 	n.draining.Store(true)
 	n.target.stop()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout-exitMargin)
+	end := started.Add(n.settings.DrainTimeout - exitMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	n.entry.StopBy(end.Add(-answerMargin))
 	if n.target.left() {
 		n.leave()
 	}
