Refuse requests with two body lengths; answer malformed chunks with 400

Found with raw sockets on the landed program: a request with Content-Length and Transfer-Encoding was served and so was what followed it; a malformed chunk ended as a failure of the target.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/framing"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/wire"
 )
@@ -40,7 +41,7 @@
 		addr    string
 		handler http.Handler
 	}{
-		{&opened.entry, d.settings.EntryAddr, opened.closeWhenDraining(d.entry)},
+		{&opened.entry, d.settings.EntryAddr, framing.Handler(opened.closeWhenDraining(d.entry), d.entry.RefuseAmbiguous)},
 		{&opened.peer, d.settings.PeerAddr, d.peerHandler()},
 		{&opened.admin, d.settings.AdminAddr, d.adminHandler(opened)},
 	}
@@ -50,8 +51,8 @@
 			opened.close()
 			return nil, err
 		}
-		one.to.socket = socket
-		one.to.server = &http.Server{Handler: one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+		one.to.socket = framing.Listen(socket)
+		one.to.server = &http.Server{Handler: one.handler, ConnContext: framing.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
 	}
 	return opened, nil
 }
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// broken returns the error by which the caller's body ended early, or nil.
+func (b *requestBody) broken() error {
+	if b.stream == nil || !b.mu.TryLock() {
+		return nil // nothing was left to read, or a read still waits
+	}
+	defer b.mu.Unlock()
+	if errors.Is(b.err, io.EOF) || errors.Is(b.err, errBodySuperseded) {
+		return nil
+	}
+	return b.err
+}
+
 // streamReader is one send's reader: it gives what earlier sends have read, then reads on.
 type streamReader struct {
 	body   *requestBody
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -52,6 +52,13 @@
 	return &Handler{config: config, latencies: newLatencies(), stopped: stopped, stop: stop}
 }
 
+// RefuseAmbiguous answers a request whose body length is given in two ways.
+func (h *Handler) RefuseAmbiguous(w http.ResponseWriter, request *http.Request) {
+	failed := failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
+	h.logRefusal(request, failed)
+	h.refuse(w, failed)
+}
+
 // StopBy gives every call an answer by that time: later calls get an earlier deadline, and calls that still run then end
 // with a failure. Otherwise the node's end would close their connections without an answer.
 func (h *Handler) StopBy(at time.Time) {
@@ -105,6 +112,10 @@
 func (h *Handler) answer(w http.ResponseWriter, c *call, final result) {
 	switch {
 	case final.failed != nil:
+		if err := c.body.broken(); err != nil && c.request.Context().Err() == nil {
+			final.failed = failure.Wrap(err, failure.BadRequest, final.failed.Outcome, "the request body can't be read")
+			w.Header().Set("Connection", "close") // what follows on the connection can't be told from the body
+		}
 		h.logFailure(c, final.failed)
 		h.refuse(w, final.failed)
 	case final.kept != nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/acacialock/acacialock/internal/entry"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/framing"
 	"github.com/acacialock/acacialock/internal/inbound"
 	"github.com/acacialock/acacialock/internal/membership"
 	"github.com/acacialock/acacialock/internal/peerclient"
@@ -164,7 +165,7 @@
 		name, addr string
 		handler    http.Handler
 	}{
-		{"entry", n.settings.EntryAddr, n.closeWhenDraining(n.platform.Callers(n.settings.Service, n.entry))},
+		{"entry", n.settings.EntryAddr, framing.Handler(n.closeWhenDraining(n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseAmbiguous)},
 		{"peer", n.settings.PeerAddr, n.peerHandler()},
 		{"admin", n.settings.AdminAddr, n.adminHandler()},
 		{"check-in", n.settings.CheckInAddr, n.platform.CheckIns(n.target)},
@@ -175,8 +176,9 @@
 			n.closeServers()
 			return eris.Wrapf(err, "open the %s listener", one.name)
 		}
-		n.servers = append(n.servers, server{one.name, socket, &http.Server{
-			Handler: one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
+		n.servers = append(n.servers, server{one.name, framing.Listen(socket), &http.Server{
+			ConnContext: framing.ConnContext,
+			Handler:     one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
 		}})
 	}
 	return nil
