--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/daemon"
+	"github.com/acacialock/acacialock/internal/logsink"
 	"github.com/acacialock/acacialock/internal/node"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/version"
@@ -53,7 +55,9 @@
 		fmt.Printf("%s: ok\n", args.Config)
 		return 0
 	}
-	if err := logToStdout(args.Level); err != nil {
+	sink := logsink.New(os.Stdout, logsink.BytesPerSecond)
+	defer sink.Close()
+	if err := logToStdout(sink, args.Level); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
@@ -106,12 +110,12 @@
 }
 
 // logToStdout sets klog up without its own command-line flags. Instances have no disks, so nothing is logged to files.
-func logToStdout(level int) error {
+func logToStdout(sink io.Writer, level int) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	if err := flags.Parse([]string{"-logtostderr=false", "-alsologtostderr=false", "-stderrthreshold=FATAL", fmt.Sprintf("-v=%d", level)}); err != nil {
 		return err
 	}
-	klog.SetOutput(os.Stdout)
+	klog.SetOutput(sink)
 	return nil
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -123,6 +123,7 @@
 	default:
 		stop := context.AfterFunc(c.request.Context(), func() { _ = final.response.Body.Close() })
 		defer stop()
+		h.logAnswer(c, final)
 		h.stream(w, final.response)
 	}
 }
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -25,6 +25,8 @@
 	History *historyArguments `arg:"subcommand:history" help:"list the accepted versions, newest first"`
 	Status  *statusArguments  `arg:"subcommand:status" help:"show zones, nodes, versions in force, drains and refusals"`
 
+	Explain *explainArguments `arg:"subcommand:explain" help:"print what the logs of nodes say about one request; needs no platform"`
+
 	Platform string        `arg:"--platform,env:ACACIALOCK_PLATFORM" placeholder:"IP:PORT" help:"address of the platform"`
 	Output   outputFormat  `arg:"--output" default:"text" help:"text or json"`
 	Timeout  time.Duration `arg:"--timeout" default:"15s" help:"longest time for one operation at the store"`
@@ -101,7 +103,7 @@
 		return ExitOK
 	}
 	if err == nil && parser.Subcommand() == nil {
-		err = &UsageError{Detail: "a verb is required: check, apply, get, diff, history or status"}
+		err = &UsageError{Detail: "a verb is required: check, apply, get, diff, history, status or explain"}
 	}
 	if err != nil {
 		parser.WriteUsage(stderr)
@@ -117,6 +119,9 @@
 }
 
 func run(ctx context.Context, args *arguments, out *printer) error {
+	if args.Explain != nil {
+		return explain(args.Explain, os.Stdin, out)
+	}
 	if args.Check != nil {
 		return check(args.Check.File, out)
 	}
