--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -32,8 +32,12 @@
 	// firstRetry and lastRetry bound the pause after a failed call, which doubles and has up to half of it added at random.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
-	// memberPause is waited after member changes, so that the changes of a start or a release are read together.
-	memberPause = 150 * time.Millisecond
+	// pausePerMember, minMemberPause and maxMemberPause give the time that is waited after member changes, so that further
+	// ones are read together. Each change is read by every node: without a pause that grows with them, the reads of a start
+	// or a release grow with the square of the nodes. A new member must get requests within 4.5 s of its first check-in.
+	pausePerMember = 25 * time.Millisecond
+	minMemberPause = 150 * time.Millisecond
+	maxMemberPause = 2 * time.Second
 )
 
 // ListSource tells where the service list lies in the store and how it is read.
@@ -68,6 +72,7 @@
 	list *servicelist.List
 
 	ownVersion atomic.Uint64
+	members    atomic.Int64 // rows known
 	listLoaded atomic.Bool
 	// interruptMembers ends the read of member changes that is under way.
 	interruptMembers atomic.Pointer[context.CancelFunc]
@@ -123,7 +128,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		d.follow(ctx, followed{table: MembersTable, wait: memberWait, pause: memberPause, apply: d.applyMembers, read: &d.interruptMembers})
+		d.follow(ctx, followed{table: MembersTable, wait: memberWait, pause: d.memberPause, apply: d.applyMembers, read: &d.interruptMembers})
 		return nil
 	})
 	group.Go(func() error {
@@ -158,14 +163,20 @@
 // followed is a table that a node follows.
 type followed struct {
 	table string
-	wait  time.Duration // of one read of changes
-	pause time.Duration // after changes, so that further ones are read together
+	wait  time.Duration        // of one read of changes
+	pause func() time.Duration // after changes, so that further ones are read together; nil: none
 	// apply takes over rows; whole tells that they are the whole table.
 	apply    func(ctx context.Context, rows []platform.FeedRow, whole bool)
 	regained func()                              // called when the store answers again; may be nil
 	read     *atomic.Pointer[context.CancelFunc] // set to what ends the read under way; may be nil
 }
 
+// memberPause spreads the reads of many nodes, which all wake at the same change.
+func (d *Directory) memberPause() time.Duration {
+	pause := min(max(minMemberPause, time.Duration(d.members.Load())*pausePerMember), maxMemberPause)
+	return pause/2 + rand.N(pause)
+}
+
 // storeRegained lets the follower of the members read again at once: a store that was down may never answer the read
 // that waits.
 func (d *Directory) storeRegained() {
@@ -219,8 +230,8 @@
 		if len(rows) > 0 || whole {
 			of.apply(ctx, rows, whole)
 		}
-		if len(rows) > 0 && of.pause > 0 {
-			sleep(ctx, of.pause)
+		if len(rows) > 0 && of.pause != nil {
+			sleep(ctx, of.pause())
 		}
 	}
 }
@@ -251,6 +262,7 @@
 		for _, row := range rows {
 			d.applyMember(row)
 		}
+		d.members.Store(int64(len(d.rows)))
 	})
 	select {
 	case <-d.loaded:
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -70,6 +70,7 @@
 
 func (s *story) read(source string, from io.Reader) {
 	wanted := fmt.Sprintf("request=%q", s.Request)
+	inner := fmt.Sprintf(`request="%s.`, s.Request) // calls that the request's run made
 	lines := bufio.NewScanner(from)
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
@@ -77,7 +78,7 @@
 		switch {
 		case match == nil && strings.TrimSpace(lines.Text()) != "":
 			s.Skipped++
-		case match != nil && strings.Contains(match[2], wanted):
+		case match != nil && (strings.Contains(match[2], wanted) || strings.Contains(match[2], inner)):
 			s.Lines = append(s.Lines, storyLine{At: match[1][1:], Source: source, Text: strings.Replace(match[2], " "+wanted, "", 1)})
 		}
 	}
