--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -299,6 +299,9 @@
 	return verdict{slot: g.start(w, now)}
 }
 
+// Age is the time since the slot was granted.
+func (s *Slot) Age() time.Duration { return time.Since(s.started) }
+
 // Release gives the slot back. A completed request adds to the estimate of service times.
 func (s *Slot) Release(completed bool) {
 	g := s.gate
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -133,6 +133,9 @@
 	if ended.response != nil {
 		h.latencies.route(c.route()).record(ended.latency, time.Now())
 	}
+	if ended.response != nil {
+		h.config.Metrics.Observe("latency.entry."+c.service.Name+".us", ended.latency)
+	}
 	report := balance.Result{Sample: ended.sample, Latency: ended.latency}
 	if ended.failed != nil {
 		h.logAttempt(c, pick, ended.failed)
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -96,7 +96,9 @@
 	var refused *failure.Error
 	rank := e.in.rank
 	rank.Alone = e.pass.Alone()
+	began := time.Now()
 	e.slot, refused = e.handler.gate.Enter(ctx, rank)
+	e.handler.config.Metrics.Observe("wait.target.us", time.Since(began))
 	return refused
 }
 
@@ -143,6 +145,7 @@
 		return
 	}
 	slot.Release(complete)
+	e.handler.config.Metrics.Observe("latency.target.us", slot.Age())
 	e.handler.shareFullSpeed()
 }
 
--- a/internal/servicelist/parse.go
+++ b/internal/servicelist/parse.go
@@ -41,6 +41,7 @@
 type listText struct {
 	Measuring measuringText           `toml:"measuring"`
 	Services  map[string]*serviceText `toml:"services"`
+	Rules     []ruleText              `toml:"rules"`
 }
 
 type measuringText struct {
@@ -63,6 +64,23 @@
 	PathPrefix string `toml:"path_prefix"`
 }
 
+type ruleText struct {
+	Name          string      `toml:"name"`
+	Host          string      `toml:"host"`
+	Prefix        string      `toml:"prefix"`
+	Idempotent    bool        `toml:"idempotent"`
+	Timeout       *string     `toml:"timeout"`
+	TargetLatency *string     `toml:"target_latency"`
+	Priority      int         `toml:"priority"`
+	MaxAttempts   *int        `toml:"max_attempts"`
+	Split         []shareText `toml:"split"`
+}
+
+type shareText struct {
+	Service string `toml:"service"`
+	Weight  int    `toml:"weight"`
+}
+
 type limitsText struct {
 	Slots       *int `toml:"slots"`
 	Connections *int `toml:"connections"`
@@ -91,6 +109,7 @@
 	for _, name := range sortedNames(decoded.Services) {
 		list.Services[name] = service(document, name, decoded.Services[name])
 	}
+	list.Rules = rules(document, list, decoded.Rules)
 	checkWhole(document, list)
 	if problems := document.Problems(); len(problems) > 0 {
 		return nil, &Error{Problems: problems}
--- a/internal/servicelist/rules.go
+++ b/internal/servicelist/rules.go
@@ -4,6 +4,18 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/acacialock/acacialock/internal/tomlcheck"
+)
+
+// DefaultMaxAttempts is the number of targets that a request may reach when its rule doesn't say.
+const DefaultMaxAttempts = 2
+
+// Bounds of a rule's values.
+const (
+	MaxPriority    = 100
+	MaxMaxAttempts = 10
+	MaxWeight      = 1000
 )
 
 // Rule sends the requests of one host and path prefix to a service or, by weight, to several. It is immutable but for the
@@ -79,8 +91,8 @@
 	return nil
 }
 
-// splitStride is coprime to all small totals of weights, so that the turns of a split are spread over a round instead of
-// going to one part after the other.
+// splitStride is a prime, so that the turns of a split are spread over a round instead of going to one part after the
+// other. It can't be used for totals of weights that it divides.
 const splitStride = 7919
 
 // Service chooses the service of the next request. Over each round of as many requests as the weights add up to, each
@@ -96,7 +108,11 @@
 	if total <= 0 {
 		return ""
 	}
-	turn := int(r.turn.Add(1) * splitStride % uint64(total))
+	stride := uint64(splitStride)
+	if total%splitStride == 0 {
+		stride = 1
+	}
+	turn := int(r.turn.Add(1) * stride % uint64(total))
 	for _, share := range r.Split {
 		if turn -= share.Weight; turn < 0 {
 			return share.Service
@@ -104,3 +120,53 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// rules reads the rules of a list in TOML.
+func rules(document *tomlcheck.Document, list *List, texts []ruleText) RuleSet {
+	key := tomlcheck.Key{"rules"}
+	var read []*Rule
+	seen := map[[2]string]bool{}
+	for _, text := range texts {
+		rule := &Rule{
+			Name: text.Name, Host: strings.ToLower(text.Host), Prefix: text.Prefix, Idempotent: text.Idempotent,
+			Timeout:       document.Duration(child(key, "timeout"), text.Timeout, DefaultTimeout, MinTimeout, MaxTimeout),
+			TargetLatency: document.Duration(child(key, "target_latency"), text.TargetLatency, 0, MinTimeout, MaxTimeout),
+			Priority:      text.Priority,
+			MaxAttempts:   valueOr(text.MaxAttempts, DefaultMaxAttempts),
+		}
+		if rule.Name == "" || rule.Host == "" {
+			document.Add(tomlcheck.Missing, key, "a rule needs name and host: name %q, host %q", rule.Name, rule.Host)
+		}
+		if !strings.HasPrefix(rule.Prefix, "/") || !strings.HasSuffix(rule.Prefix, "/") {
+			document.Add(tomlcheck.BadRoute, key, "prefix %q of rule %q does not begin and end with \"/\"", rule.Prefix, rule.Name)
+		}
+		if place := [2]string{rule.Host, rule.Prefix}; seen[place] {
+			document.Add(tomlcheck.Duplicate, key, "host %q with prefix %q occurs twice", rule.Host, rule.Prefix)
+		} else {
+			seen[place] = true
+		}
+		document.CheckRange(child(key, "priority"), rule.Priority, 0, MaxPriority)
+		document.CheckRange(child(key, "max_attempts"), rule.MaxAttempts, 1, MaxMaxAttempts)
+		rule.Split = split(document, list, rule.Name, text.Split)
+		read = append(read, rule)
+	}
+	return NewRuleSet(read)
+}
+
+func split(document *tomlcheck.Document, list *List, name string, texts []shareText) []Share {
+	key := tomlcheck.Key{"rules", "split"}
+	var shares []Share
+	total := 0
+	for _, text := range texts {
+		document.CheckRange(child(key, "weight"), text.Weight, 0, MaxWeight)
+		if list.Services[text.Service] == nil {
+			document.Add(tomlcheck.UnknownDependency, key, "service %q of rule %q is not in the list", text.Service, name)
+		}
+		total += text.Weight
+		shares = append(shares, Share(text))
+	}
+	if total <= 0 {
+		document.Add(tomlcheck.Missing, key, "rule %q has no service with a weight above 0", name)
+	}
+	return shares
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -28,6 +29,20 @@
 	return metrics.GetOrRegisterGauge(name, r.metrics)
 }
 
+// histogramSamples is the size of the sample that a histogram keeps; decaying gives the last minutes more weight.
+const (
+	histogramSamples = 512
+	histogramDecay   = 0.015 // about five minutes, as go-metrics recommends
+)
+
+// Observe adds a time to the histogram with that name, in microseconds. The number of names must be bounded.
+func (r *Registry) Observe(name string, took time.Duration) {
+	histogram := r.metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramDecay))
+	}).(metrics.Histogram)
+	histogram.Update(took.Microseconds())
+}
+
 // Refused counts one refusal or failure given to a caller or to another node, under "refusal.<role>.<reason>".
 func (r *Registry) Refused(role string, reason failure.Reason) {
 	r.Counter("refusal." + role + "." + string(reason)).Inc(1)
@@ -38,7 +53,7 @@
 	r.Counter("retry." + string(reason)).Inc(1)
 }
 
-// Values returns all counters and gauges by name.
+// Values returns all counters and gauges by name, and of each histogram its count and quantiles.
 func (r *Registry) Values() map[string]int64 {
 	values := map[string]int64{}
 	r.metrics.Each(func(name string, metric any) {
@@ -47,6 +62,11 @@
 			values[name] = m.Count()
 		case metrics.Gauge:
 			values[name] = m.Value()
+		case metrics.Histogram:
+			snapshot := m.Snapshot()
+			values[name+".count"] = snapshot.Count()
+			values[name+".p50"] = int64(snapshot.Percentile(0.5))
+			values[name+".p99"] = int64(snapshot.Percentile(0.99))
 		}
 	})
 	return values
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,23 @@
+package telemetry
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a histogram that is not served, or served in another unit.
+func TestHistogramIsServed(t *testing.T) {
+	registry := New()
+	for ms := range 100 {
+		registry.Observe("wait.us", time.Duration(ms+1)*time.Millisecond)
+	}
+	answer := httptest.NewRecorder()
+	registry.ServeHTTP(answer, nil)
+	for _, line := range []string{"wait.us.count 100\n", "wait.us.p50 50500\n"} {
+		assert.Assert(t, strings.Contains(answer.Body.String(), line), answer.Body.String())
+	}
+}
