Drop rows whose address another node has taken; send wrong-service refusals elsewhere

Cause: a machine that is lost without a word leaves its row, and its address goes to a machine of another service. Now the row of the later node counts, and the refusal is one that reached no target. A node also takes over known crash suspects when its target starts.

--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -142,7 +142,7 @@
 	switch failed.Reason {
 	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget:
 		return true
-	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.TargetUnreachable:
+	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
 	default:
 		return false
@@ -153,7 +153,7 @@
 // one layer alone retries unclear failures.
 func repeatable(c *call, failed *failure.Error) bool {
 	switch failed.Reason {
-	case failure.Quarantined, failure.BadRequest, failure.WrongService, failure.DeadlineExceeded, failure.CallerGone,
+	case failure.Quarantined, failure.BadRequest, failure.DeadlineExceeded, failure.CallerGone,
 		failure.DuplicateAttempt, failure.BadKey, failure.KeyReused, failure.NoTarget:
 		return false
 	}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -340,10 +340,11 @@
 		}
 		snapshot.Members[row.Member.Service] = append(snapshot.Members[row.Member.Service], row.Member)
 	}
-	for _, known := range d.rows {
-		add(known.row)
+	for _, row := range latestByAddr(d.rows, d.config.Self.PeerAddr) {
+		add(row)
 	}
 	if own := d.wanted.Load(); own != nil {
+		snapshot.Self = own.Member
 		add(*own)
 	}
 	for _, members := range snapshot.Members {
@@ -352,6 +353,23 @@
 	d.config.View.Publish(snapshot)
 }
 
+// latestByAddr drops the rows of nodes whose address another node has taken since. Nobody removes the row of a machine that
+// was lost, and its address may be given to a machine of another service. The own address is this node's.
+func latestByAddr(rows map[string]memberRow, own string) []Row {
+	latest := map[string]memberRow{}
+	for _, known := range rows {
+		addr := known.row.Member.PeerAddr
+		if addr != own && known.version >= latest[addr].version {
+			latest[addr] = known
+		}
+	}
+	kept := make([]Row, 0, len(latest))
+	for _, known := range latest {
+		kept = append(kept, known.row)
+	}
+	return kept
+}
+
 // writeOwn keeps the store's row of this node equal to the row announced last.
 func (d *Directory) writeOwn(ctx context.Context) error {
 	select {
--- /dev/null
+++ b/internal/membership/directory_test.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
+)
+
+// memoryFeed is a platform.Feed in memory; late writes are kept and applied by release if their condition still holds.
+type memoryFeed struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]map[string]platform.FeedRow
+	changes map[string][]platform.FeedRow
+	late    []func()
+	delay   bool
+}
+
+func newMemoryFeed() *memoryFeed {
+	return &memoryFeed{rows: map[string]map[string]platform.FeedRow{}, changes: map[string][]platform.FeedRow{}}
+}
+
+func (f *memoryFeed) ReadAll(_ context.Context, table string) ([]platform.FeedRow, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var rows []platform.FeedRow
+	for _, row := range f.rows[table] {
+		rows = append(rows, row)
+	}
+	return rows, f.version, nil
+}
+
+func (f *memoryFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
+	for end := time.Now().Add(wait); ; {
+		f.mu.Lock()
+		var rows []platform.FeedRow
+		for _, row := range f.changes[table] {
+			if row.Version > after {
+				rows = append(rows, row)
+			}
+		}
+		version := f.version
+		f.mu.Unlock()
+		if len(rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
+			return rows, version, ctx.Err()
+		}
+		sleep(ctx, time.Millisecond)
+	}
+}
+
+func (f *memoryFeed) put(table string, row platform.FeedRow) uint64 {
+	f.version++
+	row.Version = f.version
+	if f.rows[table] == nil {
+		f.rows[table] = map[string]platform.FeedRow{}
+	}
+	f.rows[table][row.Key] = row
+	f.changes[table] = append(f.changes[table], row)
+	return f.version
+}
+
+func (f *memoryFeed) Replace(_ context.Context, table string, row platform.FeedRow, ifVersion uint64) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.delay {
+		f.delay = false
+		f.late = append(f.late, func() {
+			if f.rows[table][row.Key].Version == ifVersion {
+				f.put(table, row)
+			}
+		})
+		return 0, &platform.UnavailableError{Operation: "replace", Cause: context.DeadlineExceeded}
+	}
+	if stored := f.rows[table][row.Key]; stored.Version != ifVersion {
+		return 0, &platform.StaleRowError{Stored: stored}
+	}
+	return f.put(table, row), nil
+}
+
+func (f *memoryFeed) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, write := range f.late {
+		write()
+	}
+	f.late = nil
+}
+
+func (f *memoryFeed) stored(key string) Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, _ := decodeRow(f.rows[MembersTable][key].Value)
+	return row
+}
+
+func member(name, service, addr string) cluster.Member {
+	return cluster.Member{ID: name + "@1.1", Service: service, Zone: "a", Region: "r", PeerAddr: addr}
+}
+
+func startDirectory(t *testing.T, feed *memoryFeed) (*Directory, *cluster.View) {
+	t.Helper()
+	self := cluster.Member{ID: "own@2", Service: "shop", PeerAddr: "10.0.0.1:1"}
+	view := cluster.NewView(&cluster.Snapshot{Self: self})
+	directory := New(Config{
+		Name: "own", Self: self, Store: feed, View: view, Metrics: telemetry.New(),
+		List: ListSource{Table: "op", Key: "config", Parse: func([]byte) (*servicelist.List, error) {
+			return &servicelist.List{Version: 1}, nil
+		}},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- directory.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	<-directory.Loaded()
+	return directory, view
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(2*time.Millisecond))
+}
+
+// Guards against requests for a service that go to a machine of another one: a machine was lost without a word, and its
+// address was given to another machine.
+func TestReusedAddressBelongsToItsLatestNode(t *testing.T) {
+	feed := newMemoryFeed()
+	const addr = "10.0.0.7:1"
+	feed.put(MembersTable, platform.FeedRow{Key: "lost", Value: encodeRow(Row{Member: member("lost", "shop", addr)})})
+	feed.put(MembersTable, platform.FeedRow{Key: "other", Value: encodeRow(Row{Member: member("other", "shop", "10.0.0.8:1")})})
+	_, view := startDirectory(t, feed)
+	eventually(t, "both are known", func() bool { return len(view.Load().Members["shop"]) == 2 })
+	feed.mu.Lock()
+	feed.put(MembersTable, platform.FeedRow{Key: "new", Value: encodeRow(Row{Member: member("new", "stock", addr)})})
+	feed.mu.Unlock()
+	eventually(t, "the new node is known", func() bool { return len(view.Load().Members["stock"]) == 1 })
+	assert.Equal(t, len(view.Load().Members["shop"]), 1)
+	assert.Equal(t, view.Load().Members["shop"][0].ID, "other@1.1")
+}
+
+// Guards against a lost write that takes effect late and undoes a newer one, such as a drain.
+func TestLateWriteDoesNotUndoANewerOne(t *testing.T) {
+	feed := newMemoryFeed()
+	directory, view := startDirectory(t, feed)
+	feed.mu.Lock()
+	feed.delay = true
+	feed.mu.Unlock()
+	row := Row{Member: member("own", "shop", "10.0.0.1:1"), Target: TargetBoot{ID: "i-1", Born: 1}}
+	directory.Announce(row)
+	eventually(t, "the row is stored", directory.Announced)
+	row.Member.Draining = true
+	directory.Announce(row)
+	eventually(t, "the drain is stored", directory.Announced)
+	feed.release()
+	assert.Assert(t, feed.stored("own").Member.Draining)
+	eventually(t, "the own row is in the snapshot", func() bool {
+		members := view.Load().Members["shop"]
+		return len(members) == 1 && members[0].Draining
+	})
+}
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -128,6 +128,7 @@
 	if t.state.draining {
 		next.handler.BeginDrain()
 	}
+	go next.handler.TakeOverSuspects(context.Background()) // asks for a short time; see quarantine.NewPeers
 	old := t.current.Swap(next)
 	if old != nil {
 		old.handler.BeginDrain()
