--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/platformtest"
 	"github.com/acacialock/acacialock/internal/settings"
+	"github.com/acacialock/acacialock/internal/testnet"
 )
 
 // BenchmarkCall gives the processor time and the allocations of one call: straight to the target, and through a node
@@ -93,8 +93,7 @@
 
 func freeAddr(tb testing.TB) string {
 	tb.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := testnet.FreeAddr()
 	assert.NilError(tb, err)
-	defer socket.Close()
-	return socket.Addr().String()
+	return addr
 }
--- a/internal/e2e/regions_test.go
+++ b/internal/e2e/regions_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -93,10 +92,9 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := testnet.FreeAddr()
 	assert.NilError(t, err)
-	defer socket.Close()
-	return socket.Addr().String()
+	return addr
 }
 
 // serve is the target: it counts the runs of each order.
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"path/filepath"
 	"time"
+
+	"github.com/acacialock/acacialock/internal/testnet"
 )
 
 // terminateLimit covers a drain with its handover.
@@ -68,7 +70,7 @@
 	if err := c.build(); err != nil {
 		return nil, err
 	}
-	addr, err := freeAddr()
+	addr, err := testnet.FreeAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +133,7 @@
 		if *addr != "" {
 			continue
 		}
-		free, err := freeAddr()
+		free, err := testnet.FreeAddr()
 		if err != nil {
 			return err
 		}
@@ -300,13 +302,3 @@
 	_ = conn.Close()
 	return true
 }
-
-// freeAddr returns a loopback address with a port that was free a moment ago.
-func freeAddr() (string, error) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer socket.Close()
-	return socket.Addr().String(), nil
-}
