Test the cause of the list that was late after a silent store

The new test fails when the follower goes on to wait while the store is lost (seen with that line changed back). No program code changed.

--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -23,6 +23,8 @@
 	changes map[string][]platform.FeedRow
 	late    []func()
 	delay   bool
+	silent  bool            // reads that begin now get no answer within their wait
+	waits   []time.Duration // of the list's reads that began in the silence
 }
 
 func newMemoryFeed() *memoryFeed {
@@ -40,6 +42,16 @@
 }
 
 func (f *memoryFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
+	f.mu.Lock()
+	silent := f.silent
+	if silent && table == "op" {
+		f.waits = append(f.waits, wait)
+	}
+	f.mu.Unlock()
+	if silent {
+		sleep(ctx, wait)
+		return nil, 0, &platform.UnavailableError{Operation: "changes", Cause: context.DeadlineExceeded}
+	}
 	for end := time.Now().Add(wait); ; {
 		f.mu.Lock()
 		var rows []platform.FeedRow
@@ -174,3 +186,24 @@
 		return len(members) == 1 && members[0].Draining
 	})
 }
+
+// Guards against a follower that, while the store is silent, goes on to wait for changes: the store never answers a read that
+// it got then, so the node would learn of its return only when that wait ends.
+func TestFollowerDoesNotWaitAtASilentStore(t *testing.T) {
+	feed := newMemoryFeed()
+	startDirectory(t, feed)
+	feed.mu.Lock()
+	feed.silent = true
+	feed.put("op", platform.FeedRow{Key: "other"}) // ends the read that began before the silence
+	feed.mu.Unlock()
+	reads := func() []time.Duration {
+		feed.mu.Lock()
+		defer feed.mu.Unlock()
+		return append([]time.Duration(nil), feed.waits...)
+	}
+	eventually(t, "three reads were made in the silence", func() bool { return len(reads()) >= 3 })
+	assert.Equal(t, reads()[0], listWait)
+	for _, wait := range reads()[1:] {
+		assert.Equal(t, wait, time.Duration(0))
+	}
+}
