Start requests while their target is at its usual speed

A trial that asked each worker every 10 ms showed why: the last figure of the load header (100 or 500) is drawn anew each 150 ms, a third of the time it is 500, and the figure at the start of a request decides how long it takes (place-order: median 117 ms at 100, 591 ms at 500).

Change: the target's node follows the pace (answers, and the health path when the last answer is older than 10 ms and a request waits). While it is slow, a request that may move is refused with proof, and its entry node tries up to three others; then it waits for the end of the spell. Slow starts don't enter the estimates.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,6 +45,10 @@
 	coldTill time.Time // until then service times say nothing about the load
 	draining bool
 	idle     chan struct{} // closed when nothing is in flight or queued; nil when nobody waits
+
+	pace        pace
+	readPace    func() (factor float64, ok bool) // nil: requests start at any pace
+	readingPace bool                             // a reading is under way or due
 }
 
 // verdict ends the wait of a queued request.
@@ -60,6 +64,7 @@
 	kind    string
 	load    int // requests at the target including this one, at the start
 	started time.Time
+	slow    bool // the target was slow at the start
 }
 
 // New returns a gate; limits that are zero take their defaults.
@@ -142,15 +147,25 @@
 		return nil, refused
 	}
 	g.aloneHas = g.aloneHas || w.Alone
-	if len(g.queue.waiters) == 0 && g.free(w.Alone) {
+	if len(g.queue.waiters) == 0 && g.free(w.Alone) && !g.heldByPace(w, now) {
 		slot := g.start(w, now)
 		g.mu.Unlock()
 		return slot, nil
 	}
+	// A request that waits for a slot stays: the targets elsewhere are as full.
+	w.movable = w.Movable && !w.Alone && g.heldByPace(w, now)
+	if w.movable && g.pace.slow(now) && !g.pace.stale(now) {
+		refused := slowNow(g.pace.factor)
+		g.mu.Unlock()
+		return nil, refused
+	}
 	if len(g.queue.waiters) >= g.limits.Queue && !w.Alone {
 		g.displace(now)
 	}
 	g.queue.add(w)
+	if g.heldByPace(w, now) {
+		g.wantPace(now)
+	}
 	patience := g.patience(now, w)
 	g.mu.Unlock()
 	return g.wait(ctx, w, patience)
@@ -237,7 +252,7 @@
 func (g *Gate) start(w *waiter, now time.Time) *Slot {
 	g.inFlight++
 	g.alone = w.Alone
-	return &Slot{gate: g, alone: w.Alone, kind: w.Kind, load: g.inFlight, started: now}
+	return &Slot{gate: g, alone: w.Alone, kind: w.Kind, load: g.inFlight, started: now, slow: g.pace.slow(now)}
 }
 
 // wait blocks until the waiter gets a slot, runs out of patience or is dropped.
@@ -280,6 +295,10 @@
 func (g *Gate) grant() {
 	now := time.Now()
 	for next := g.queue.next(now); next >= 0 && g.free(g.queue.waiters[next].Alone); next = g.queue.next(now) {
+		if g.heldByPace(g.queue.waiters[next], now) {
+			g.wantPace(now)
+			break
+		}
 		w := g.queue.remove(next)
 		w.verdict <- g.decide(w, now)
 	}
@@ -311,7 +330,7 @@
 	// overloaded target are those of its fastest requests.
 	now := time.Now()
 	long := now.Sub(s.started) >= g.times.of(s.kind, s.load)
-	if (completed || long) && s.kind != "" && now.After(g.coldTill) {
+	if (completed || long) && !s.slow && s.kind != "" && now.After(g.coldTill) {
 		g.full.record(s.kind, s.load, now.Sub(s.started), g.limits.Slots, now)
 	}
 	g.inFlight--
@@ -319,7 +338,7 @@
 		g.alone = false
 		g.aloneHas = false
 	}
-	if completed {
+	if completed && !s.slow {
 		g.times.record(s.kind, s.load, time.Since(s.started))
 	}
 	g.grant()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,6 +16,9 @@
 	Kind string
 	// Alone asks for a slot with no other request at the target.
 	Alone bool
+	// Movable tells that the sender has other targets to try. Such a request is refused instead of waiting while the target
+	// is slow.
+	Movable bool
 }
 
 // waiter is a queued request.
@@ -23,6 +26,7 @@
 	Request
 	arrival uint64        // rises with each queued request
 	takes   time.Duration // expected time to the answer's end once it runs; 0: unknown
+	movable bool          // it may be refused because the target is slow
 	verdict chan verdict  // holds one value
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -166,6 +166,8 @@
 	// refusalAvoidance is less than a service time: a full queue has room again after that. With none, retries of
 	// other calls met the same full targets and 2 to 6% of calls failed instead of 1%.
 	refusalAvoidance = 10 * time.Millisecond
+	// slowAvoidance is a third of the time for which the pace of a shared machine lasts (docs/measurements.md).
+	slowAvoidance = 50 * time.Millisecond
 	// failureAvoidance covers a reconnect and a few further tries before the ejection has evidence.
 	failureAvoidance = 200 * time.Millisecond
 	// goneAvoidance covers the time until the member set drops a restarted or unknown member.
@@ -181,6 +183,8 @@
 		p.failedUntil = now.Add(goneAvoidance)
 	case failure.TargetUnreachable, failure.ConnectionLimit:
 		p.failedUntil = now.Add(failureAvoidance)
+	case failure.TargetSlow:
+		p.refusedUntil = now.Add(slowAvoidance)
 	case failure.QueueFull, failure.DeadlineUnreachable, failure.LedgerFull:
 		p.refusedUntil = now.Add(refusalAvoidance)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -28,6 +28,7 @@
 	id         wire.AttemptID
 	member     cluster.Member
 	sends      int           // sends of the call with this one
+	stay       bool          // the node keeps the call also when its target is slow
 	grant      *grantHeaders // keyed calls only
 	generation *forward.Generation
 	cancel     context.CancelFunc
@@ -119,6 +120,9 @@
 	if rule := a.call.rule; rule != nil {
 		header.Set(wire.Rank, wire.FormatRank(rule.Name, rule.Priority, a.call.aimLeft()))
 	}
+	if a.stay {
+		header.Set(wire.Stay, "1")
+	}
 	if a.member.Region != a.call.snapshot.Self.Region {
 		header.Set(wire.Link, "1")
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -17,6 +17,10 @@
 // maxKeyBytes bounds an Idempotency-Key.
 const maxKeyBytes = 255
 
+// maxMoves bounds the targets that a call leaves because they are slow at the moment. With a third of the targets slow, one
+// call of 30 meets another slow one after that many, and waits there.
+const maxMoves = 3
+
 // maxSends bounds the sends of one call over all layers.
 const maxSends = 6
 
@@ -35,6 +39,8 @@
 	sends      int      // sends so far, over all layers
 	reached    int      // sends that a target may have seen
 	tried      []string // ids of members that were sent an attempt
+	slow       []string // ids of those that refused because their target is slow; len is the number of moves
+	stay       bool     // the next target keeps the call also when it is slow
 }
 
 // newCall checks the request against the service list.
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -151,7 +151,7 @@
 		k.last = failure.New(failure.KeyInProgress, failure.Unknown, "another call with the same key is in progress")
 		return result{}, false
 	}
-	return ended, !k.handler.mayRepeat(k.call, k.policy, ended.failed)
+	return ended, !k.handler.mayRepeat(k.call, k.policy, ended)
 }
 
 // taken gets the answer of the attempt that holds the key, or makes sure that it never runs.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -41,7 +41,7 @@
 				return one
 			}
 			c.forgetSilent(one)
-			if h.mayRepeat(c, policy, one.failed) && h.launch(ctx, c, policy, ended) == nil {
+			if h.mayRepeat(c, policy, one) && h.relaunch(ctx, c, policy, ended) == nil {
 				pending++
 			}
 			if pending == 0 {
@@ -76,6 +76,17 @@
 	return nil
 }
 
+// relaunch is launch after a failure. When only members with slow targets are left, the call returns to one and waits.
+func (h *Handler) relaunch(ctx context.Context, c *call, policy *Policy, ended chan<- result) *failure.Error {
+	failed := h.launch(ctx, c, policy, ended)
+	if failed == nil || len(c.slow) == 0 {
+		return failed
+	}
+	c.stay = true
+	c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return slices.Contains(c.slow, id) })
+	return h.launch(ctx, c, policy, ended)
+}
+
 func (h *Handler) launchHedge(ctx context.Context, c *call, policy *Policy, ended chan<- result) bool {
 	if !c.body.replayable() || !policy.hedge.Spend() {
 		h.config.Metrics.Counter("hedge.denied").Inc(1)
@@ -104,11 +115,16 @@
 func (h *Handler) newAttempt(c *call, member cluster.Member) *attempt {
 	c.tried = append(c.tried, member.ID)
 	c.sends++
-	return &attempt{handler: h, call: c, id: wire.NewAttemptID(), member: member, sends: c.sends}
+	stay := c.stay || c.key != "" || len(c.slow) >= maxMoves
+	return &attempt{handler: h, call: c, id: wire.NewAttemptID(), member: member, sends: c.sends, stay: stay}
 }
 
 // mayRepeat decides whether a failed attempt is followed by another and takes it from the budget.
-func (h *Handler) mayRepeat(c *call, policy *Policy, failed *failure.Error) bool {
+func (h *Handler) mayRepeat(c *call, policy *Policy, ended result) bool {
+	failed := ended.failed
+	if failed.Reason == failure.TargetSlow {
+		return h.mayMove(c, ended.member)
+	}
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
 		c.reached++
 	}
@@ -127,6 +143,17 @@
 	return true
 }
 
+// mayMove decides whether a call leaves a target that is slow. It put no load on that target, so it is no retry.
+func (h *Handler) mayMove(c *call, from string) bool {
+	c.sends--
+	c.slow = append(c.slow, from)
+	if h.stopped.Err() != nil || c.left() <= 0 || !c.body.replayable() {
+		return false
+	}
+	h.config.Metrics.Counter("move.target-slow").Inc(1)
+	return true
+}
+
 // forgetSilent lets a member be picked again after a silent connection: the next send uses a new one. Else a stall of
 // the connections to all targets would leave none to choose.
 func (c *call) forgetSilent(ended result) {
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -172,6 +172,7 @@
 		return e.failedBeforeAnswer(ctx, err)
 	}
 	defer answer.Body.Close()
+	e.handler.notePace(answer)
 	if refused := e.check(request, answer); refused != nil {
 		return refused
 	}
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -67,6 +67,9 @@
 	// Check judges an answer by its header. A failure with the outcome not-run means that the target proved that it did
 	// not run the request; with unknown, that the answer can't be used. nil passes the answer on.
 	Check(request *http.Request, answer *http.Response) *failure.Error
+	// Pace reads the factor by which work takes longer than usual at the target now (1: as usual) from an answer of it, also
+	// from one of its health path; false when the answer tells none.
+	Pace(header http.Header) (factor float64, ok bool)
 }
 
 // Handler serves wire.ForwardPath, rpc.Load, rpc.Attempts and rpc.Quarantine. It must be called without http.ServeMux,
@@ -79,6 +82,7 @@
 	seen    atomic.Pointer[cluster.Snapshot]
 	service atomic.Pointer[servicelist.Service] // whose limits are in force
 	target  atomic.Pointer[target]
+	probes  *http.Transport // of questions about the target's pace
 	hint    atomic.Int64 // Unix nanoseconds of the target's last hint that it drains; 0: none
 }
 
@@ -100,6 +104,8 @@
 			Metrics:    config.Metrics,
 		}),
 	}
+	h.probes = newProbes()
+	h.gate.OnPaceNeeded(h.readPace)
 	h.gate.SetCold(config.Cold)
 	h.target.Store(newTarget(config.TargetAddr, h.guard.Dial, DefaultConnections))
 	return h
@@ -112,6 +118,7 @@
 // Close closes the idle connections to the target.
 func (h *Handler) Close() {
 	h.guard.Close()
+	h.probes.CloseIdleConnections()
 	h.target.Load().transport.CloseIdleConnections()
 }
 
--- a/internal/inbound/log.go
+++ b/internal/inbound/log.go
@@ -14,3 +14,8 @@
 	klog.InfoS("target side refused", "request", r.Header.Get(h.config.RequestID), "reason", failed.Reason,
 		"outcome", failed.Outcome, "detail", failed.Detail, "in_flight", load.InFlight, "queued", load.Queued)
 }
+
+// logPaceUnread writes why a question about the target's pace failed. The gate asks no more for a second then.
+func logPaceUnread(member string, err error) {
+	klog.InfoS("pace of the target not known", "member", member, "err", err.Error())
+}
--- a/internal/servicelist/types.go
+++ b/internal/servicelist/types.go
@@ -28,6 +28,8 @@
 	DependsOn  []string
 	HomeRegion string        // region whose nodes run calls with an Idempotency-Key; empty: such calls are refused
 	Timeout    time.Duration // for a call without a timeout of its own; default 10 s
+	// HealthPath is where targets tell their health and their pace; empty: nowhere.
+	HealthPath string
 	// ResendWindow is the time in which a repeated Idempotency-Key gets the first run's answer; default 10 min.
 	ResendWindow time.Duration
 	Idempotent   []Route
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,6 +32,7 @@
 	KeyOwner      = "Acacialock-Key-Owner"   // member id of the owner that granted the attempt
 	RosterVersion = "Acacialock-Roster"      // roster version of the grant
 	Rank          = "Acacialock-Rank"        // kind, priority and time left for an answer of full worth; see FormatRank
+	Stay          = "Acacialock-Stay"        // "1" when the entry node has no other target to try
 	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
@@ -44,6 +45,10 @@
 // TargetDraining is "1" on a 503 answer of a target that shuts down; it is a hint to the target's node.
 const TargetDraining = "Acacialock-Target-Draining"
 
+// TargetPace tells on a target's answers, also on those of its health path, how long work takes there now, in percent of
+// the usual time.
+const TargetPace = "Acacialock-Target-Pace"
+
 // ForwardPath is the path prefix of forwarded requests on the peer listener; the original path and query follow it.
 const ForwardPath = "/acacialock/v1/forward"
 
