Catch SIGHUP to the end of the process; take changed settings over

Cause: SIGHUP was caught only until SIGTERM.

Ruled out: memory, drain timeout, a panic, an end of its own.

Drain timeout and retry terms take effect at once, others are named in a log line. The twins newSelf and closeWhenDraining are merged.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -62,6 +62,9 @@
 		return exitUsage
 	}
 	defer klog.Flush()
+	// SIGHUP is caught to the end of the process: its default action would end a node that drains.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	started, err := build(loaded)
@@ -69,7 +72,7 @@
 		klog.Errorf("start: %v", err)
 		return exitFailed
 	}
-	go reload(ctx, args.Config)
+	go settings.Watch(ctx, args.Config, hangUps, started.Reload)
 	if err := started.Run(ctx); err != nil {
 		klog.Errorf("%v", err)
 		return exitFailed
@@ -80,6 +83,8 @@
 // runner is a node on one of the platforms.
 type runner interface {
 	Run(ctx context.Context) error
+	// Reload takes over changed settings as far as they can change while the process runs.
+	Reload(changed *settings.Settings)
 }
 
 func build(set *settings.Settings) (runner, error) {
@@ -89,26 +94,6 @@
 	return daemon.New(set, daemon.Options{})
 }
 
-// reload checks the settings file on each SIGHUP until ctx ends. Settings are in force from the start of the process; a
-// changed file takes effect at the next start.
-func reload(ctx context.Context, path string) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangUps:
-		}
-		if _, err := settings.Load(path); err != nil {
-			klog.InfoS("settings file can't be used at the next start", "file", path, "err", err.Error())
-			continue
-		}
-		klog.InfoS("settings file checked", "file", path)
-	}
-}
-
 // logToStdout sets klog up without its own command-line flags. Instances have no disks, so nothing is logged to files.
 func logToStdout(sink io.Writer, level int) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -44,7 +43,8 @@
 
 // Daemon is one node.
 type Daemon struct {
-	settings  *settings.Settings
+	settings  *settings.Settings // of the start; see Reload
+	drainFor  atomic.Int64       // drain timeout in force, a time.Duration
 	options   Options
 	self      cluster.Member
 	view      *cluster.View
@@ -71,7 +71,8 @@
 
 // New builds a node and opens its listeners.
 func New(set *settings.Settings, options Options) (*Daemon, error) {
-	d := &Daemon{settings: set, options: options, self: newSelf(set), metrics: telemetry.New()}
+	d := &Daemon{settings: set, options: options, self: set.NewMember(), metrics: telemetry.New()}
+	d.drainFor.Store(int64(set.DrainTimeout))
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
 	d.metering = &metering{bytes: budget.NewBytes(defaultLimits, nil), view: d.view}
 	d.peers = peerclient.New(options.Dial, func(next http.RoundTripper) http.RoundTripper {
@@ -98,19 +99,6 @@
 	return d, nil
 }
 
-// newSelf gives the node a new incarnation.
-func newSelf(set *settings.Settings) cluster.Member {
-	var incarnation [4]byte
-	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never fails
-	return cluster.Member{
-		ID:       set.Name + "@" + hex.EncodeToString(incarnation[:]),
-		Service:  set.Service,
-		Zone:     set.Zone,
-		Region:   set.Region,
-		PeerAddr: set.PeerAddr,
-	}
-}
-
 // keyedAttempts lists the target side's keyed attempts for key ownership.
 type keyedAttempts struct{ inbound *inbound.Handler }
 
@@ -282,12 +270,20 @@
 	}
 }
 
+// Reload takes over a changed drain timeout at once; other settings take effect at the next start.
+func (d *Daemon) Reload(changed *settings.Settings) {
+	if keys := changed.NeedStart(d.settings); len(keys) > 0 {
+		klog.InfoS("changed settings take effect at the next start", "keys", keys)
+	}
+	d.drainFor.Store(int64(changed.DrainTimeout))
+}
+
 // drain refuses new work, finishes what is in flight, hands keys over and leaves.
 func (d *Daemon) drain() error {
 	klog.Infof("node %s drains", d.self.ID)
 	started := time.Now()
 	d.listeners.drainEntry()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.drainFor.Load()))
 	defer cancel()
 	go d.control.SetDraining()
 	drained := d.inbound.Drain(ctx)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -41,7 +41,7 @@
 		addr    string
 		handler http.Handler
 	}{
-		{&opened.entry, d.settings.EntryAddr, framing.Handler(opened.closeWhenDraining(d.entry), d.entry.RefuseAmbiguous)},
+		{&opened.entry, d.settings.EntryAddr, framing.Handler(framing.CloseWhile(&opened.draining, d.entry), d.entry.RefuseAmbiguous)},
 		{&opened.peer, d.settings.PeerAddr, d.peerHandler()},
 		{&opened.admin, d.settings.AdminAddr, d.adminHandler(opened)},
 	}
@@ -71,17 +71,6 @@
 	}
 }
 
-// closeWhenDraining asks callers to close their connection after each answer once the node drains. Closing idle
-// connections at once would cut requests that are on their way.
-func (l *listeners) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if l.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, request)
-	})
-}
-
 func (l *listeners) drainEntry() { l.draining.Store(true) }
 
 // shutdown waits for requests in flight at the entry and peer listeners.
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -83,7 +83,7 @@
 	service atomic.Pointer[servicelist.Service] // whose limits are in force
 	target  atomic.Pointer[target]
 	probes  *http.Transport // of questions about the target's pace
-	hint    atomic.Int64 // Unix nanoseconds of the target's last hint that it drains; 0: none
+	hint    atomic.Int64    // Unix nanoseconds of the target's last hint that it drains; 0: none
 }
 
 // New returns a handler for the local target.
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -61,6 +61,7 @@
 type Directory struct {
 	config  Config
 	events  chan func()
+	reparse chan struct{}
 	own     chan struct{} // signals the writer that wanted changed
 	wanted  atomic.Pointer[Row]
 	stored  atomic.Bool // the wanted row is in the store
@@ -70,6 +71,7 @@
 	// State of the Run goroutine.
 	rows map[string]memberRow
 	list *servicelist.List
+	text []byte // of the list in force
 
 	ownVersion atomic.Uint64
 	members    atomic.Int64 // rows known
@@ -87,11 +89,12 @@
 // New returns a directory; call Run.
 func New(config Config) *Directory {
 	return &Directory{
-		config: config,
-		events: make(chan func()),
-		own:    make(chan struct{}, 1),
-		loaded: make(chan struct{}),
-		rows:   map[string]memberRow{},
+		config:  config,
+		events:  make(chan func()),
+		reparse: make(chan struct{}, 1),
+		own:     make(chan struct{}, 1),
+		loaded:  make(chan struct{}),
+		rows:    map[string]memberRow{},
 	}
 }
 
@@ -144,6 +147,9 @@
 			case event := <-d.events:
 				event()
 				d.publish()
+			case <-d.reparse:
+				d.parseAgain()
+				d.publish()
 			}
 		}
 	})
@@ -314,18 +320,40 @@
 			d.config.Metrics.Counter("list.rejected").Inc(1)
 			continue
 		}
-		d.apply(ctx, func() { d.takeList(list) })
+		d.apply(ctx, func() { d.takeList(list, row.Value) })
+	}
+}
+
+// Reparse reads the list in force again, after a change of the settings that go into it.
+func (d *Directory) Reparse() {
+	select {
+	case d.reparse <- struct{}{}:
+	default:
 	}
 }
 
+// parseAgain replaces the list in force by the same version under the present settings.
+func (d *Directory) parseAgain() {
+	if d.list == nil {
+		return
+	}
+	list, err := d.config.List.Parse(d.text)
+	if err != nil {
+		klog.InfoS("service list not read again", "version", d.list.Version, "err", err.Error())
+		return
+	}
+	d.list = list
+	klog.InfoS("service list read again", "version", list.Version)
+}
+
 // takeList puts a newer list in force. An older one is never taken again.
-func (d *Directory) takeList(list *servicelist.List) {
+func (d *Directory) takeList(list *servicelist.List, text []byte) {
 	if d.list != nil && list.Version <= d.list.Version {
 		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.list.Version)
 		return
 	}
 	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
-	d.list = list
+	d.list, d.text = list, text
 	d.listVersion.Store(list.Version)
 	d.listLoaded.Store(true)
 	d.config.Metrics.Gauge("list.version").Update(int64(list.Version))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"strings"
@@ -50,6 +48,8 @@
 	CheckIns(to Registrar) http.Handler
 	// ReadyPath is the path on the admin listener that tells whether callers may be sent to the node.
 	ReadyPath() string
+	// Reload takes over changed settings; later calls of List give their form of the list.
+	Reload(changed *settings.Settings)
 	Close()
 }
 
@@ -72,7 +72,8 @@
 
 // Node is one node.
 type Node struct {
-	settings  *settings.Settings
+	settings  *settings.Settings // of the start; see Reload
+	drainFor  atomic.Int64       // drain timeout in force, a time.Duration
 	platform  Platform
 	self      cluster.Member // without the number of the target's boot in its id
 	view      *cluster.View
@@ -95,7 +96,8 @@
 
 // New builds a node and opens its listeners.
 func New(set *settings.Settings, on Platform) (*Node, error) {
-	n := &Node{settings: set, platform: on, self: newSelf(set), metrics: telemetry.New()}
+	n := &Node{settings: set, platform: on, self: set.NewMember(), metrics: telemetry.New()}
+	n.drainFor.Store(int64(set.DrainTimeout))
 	n.view = cluster.NewView(&cluster.Snapshot{Self: n.self})
 	n.peers = peerclient.New(nil, nil)
 	n.directory = membership.New(membership.Config{
@@ -131,19 +133,6 @@
 	return n, nil
 }
 
-// newSelf gives the node a new incarnation.
-func newSelf(set *settings.Settings) cluster.Member {
-	var incarnation [4]byte
-	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never fails
-	return cluster.Member{
-		ID:       set.Name + "@" + hex.EncodeToString(incarnation[:]),
-		Service:  set.Service,
-		Zone:     set.Zone,
-		Region:   set.Region,
-		PeerAddr: set.PeerAddr,
-	}
-}
-
 func (n *Node) newHandler(member cluster.Member, announced *CheckIn) *inbound.Handler {
 	return inbound.New(inbound.Config{
 		Self:        member,
@@ -165,7 +154,7 @@
 		name, addr string
 		handler    http.Handler
 	}{
-		{"entry", n.settings.EntryAddr, framing.Handler(n.closeWhenDraining(n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseAmbiguous)},
+		{"entry", n.settings.EntryAddr, framing.Handler(framing.CloseWhile(&n.draining, n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseAmbiguous)},
 		{"peer", n.settings.PeerAddr, n.peerHandler()},
 		{"admin", n.settings.AdminAddr, n.adminHandler()},
 		{"check-in", n.settings.CheckInAddr, n.platform.CheckIns(n.target)},
@@ -184,16 +173,6 @@
 	return nil
 }
 
-// closeWhenDraining asks callers to close their connection after each answer once the node drains.
-func (n *Node) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // peerHandler serves other nodes. Forwarded paths go past the mux, which would redirect paths with "//" or "..".
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -263,6 +242,19 @@
 	return drained
 }
 
+// Snapshot is what the node knows now.
+func (n *Node) Snapshot() *cluster.Snapshot { return n.view.Load() }
+
+// Reload takes over changed settings: the drain timeout and the terms of retries at once, others at the next start.
+func (n *Node) Reload(changed *settings.Settings) {
+	if keys := changed.NeedStart(n.settings); len(keys) > 0 {
+		klog.InfoS("changed settings take effect at the next start", "keys", keys)
+	}
+	n.drainFor.Store(int64(changed.DrainTimeout))
+	n.platform.Reload(changed)
+	n.directory.Reparse()
+}
+
 // loadTarget serves the local target once the members are known.
 func (n *Node) loadTarget(ctx context.Context) {
 	select {
@@ -278,7 +270,7 @@
 	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.left())
 	n.draining.Store(true)
 	n.target.stop()
-	end := started.Add(n.settings.DrainTimeout - exitMargin)
+	end := started.Add(time.Duration(n.drainFor.Load()) - exitMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.entry.StopBy(end.Add(-answerMargin))
--- /dev/null
+++ b/internal/settings/member.go
@@ -0,0 +1,21 @@
+package settings
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+)
+
+// NewMember returns the node of these settings with a new incarnation.
+func (s *Settings) NewMember() cluster.Member {
+	var incarnation [4]byte
+	_, _ = rand.Read(incarnation[:]) // crypto/rand.Read never fails
+	return cluster.Member{
+		ID:       s.Name + "@" + hex.EncodeToString(incarnation[:]),
+		Service:  s.Service,
+		Zone:     s.Zone,
+		Region:   s.Region,
+		PeerAddr: s.PeerAddr,
+	}
+}
--- /dev/null
+++ b/internal/settings/watch_test.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const watched = `platform = "rows"
+name = "n"
+service = "shop"
+zone = "a"
+region = "r"
+entry_addr = "127.0.0.1:1001"
+peer_addr = "127.0.0.1:1002"
+admin_addr = "127.0.0.1:1003"
+check_in_addr = "127.0.0.1:1004"
+target_addr = "127.0.0.1:1005"
+platform_addr = "127.0.0.1:1006"
+drain_timeout = "6s"
+`
+
+// Guards against a changed file that is not noticed without a signal, against a faulty one that is taken over, and against
+// a signal that is lost.
+func TestWatch(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(watched), 0o600))
+	signals, changed := make(chan os.Signal, 1), make(chan *Settings, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Watch(ctx, path, signals, func(s *Settings) { changed <- s })
+	}()
+	signals <- os.Interrupt // any signal that the caller chose
+	assert.Equal(t, (<-changed).DrainTimeout, 6*time.Second)
+
+	assert.NilError(t, os.WriteFile(path, []byte("drain_timeout = 7"), 0o600))
+	signals <- os.Interrupt
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(watched, "6s", "9500ms", 1)), 0o600))
+	for drain := time.Duration(0); drain != 9500*time.Millisecond; {
+		drain = (<-changed).DrainTimeout
+		assert.Assert(t, drain == 6*time.Second || drain == 9500*time.Millisecond, "%v", drain)
+	}
+	cancel()
+	<-ended
+}
+
+// Guards against a changed key that seems to be in force.
+func TestNeedStart(t *testing.T) {
+	load := func(old, replacement string) *Settings {
+		path := filepath.Join(t.TempDir(), "node.toml")
+		assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(watched, old, replacement, 1)), 0o600))
+		loaded, err := Load(path)
+		assert.NilError(t, err)
+		return loaded
+	}
+	first := load("", "")
+	assert.Equal(t, len(load(`"6s"`, `"7s"`).NeedStart(first)), 0)
+	assert.DeepEqual(t, load(`zone = "a"`, `zone = "b"`).NeedStart(first), []string{"zone"})
+	assert.DeepEqual(t, load(`127.0.0.1:1006`, `127.0.0.1:1016`).NeedStart(first), []string{"platform_addr"})
+}
