One node of a zone reads the store; the others follow it

Ruled out: longer waits of each node's read (a store that was silent never answers it), polling a peer (30 calls/s at the peer of a zone of 30).

Change: nodes rank the members of their zone alike (widest link, then name); the best reads the store, the others hold one stream to it: changed rows of both tables, the list compressed, a frame each 400 ms. A node that hears nothing for 1.2 s, or whose reader lost the store (its read of 700 ms is overdue by 800 ms), reads the store itself.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -18,6 +18,21 @@
 	Draining bool
 	// FullSpeed is the number of requests at once up to which the target is found not to slow down; 0: not known.
 	FullSpeed int `json:",omitempty"`
+	// LinkMbps is the bandwidth of the node's link in Mbit/s; 0: not known.
+	LinkMbps float64 `json:",omitempty"`
+}
+
+// NodeState is what a node tells operators of itself.
+type NodeState struct {
+	Member  Member `json:"member"`
+	Ready   bool   `json:"ready"`   // callers may be sent to the node
+	List    uint64 `json:"list"`    // version of the list in force; 0: none
+	Members int    `json:"members"` // members known
+	// Reader is the id of the member that reads the store for the node; empty: it reads it itself.
+	Reader    string `json:"reader,omitempty"`
+	StoreLost bool   `json:"store_lost"` // the node's last read of the store failed
+	InFlight  int    `json:"in_flight"`  // requests at the local target
+	Queued    int    `json:"queued"`     // requests that wait for it
 }
 
 // Snapshot is one state of the system as a node knows it. It is never changed after publication.
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -49,11 +49,13 @@
 // Config configures a Directory. All fields are required.
 type Config struct {
 	// Self is the node before its target is known; its name is the key of its row.
-	Name    string
-	Self    cluster.Member
-	Store   platform.Feed
-	List    ListSource
-	View    *cluster.View
+	Name  string
+	Self  cluster.Member
+	Store platform.Feed
+	List  ListSource
+	View  *cluster.View
+	// Peers reaches other nodes; nil: this node always reads the store itself.
+	Peers   *http.Client
 	Metrics *telemetry.Registry
 }
 
@@ -69,13 +71,21 @@
 	initial Row // own row as an earlier process left it; valid once loaded is closed
 
 	// State of the Run goroutine.
-	rows map[string]memberRow
-	list *servicelist.List
-	text []byte // of the list in force
+	rows    map[string]memberRow
+	current *servicelist.List // in force; nil: none
+	text    []byte            // of the list in force
+
+	ownVersion  atomic.Uint64
+	memberCount atomic.Int64 // rows known
+	listLoaded  atomic.Bool
+	stopping    atomic.Bool
+	ranked      atomic.Pointer[[]cluster.Member] // see candidates
+
+	relay         *relay
+	reader        atomic.Pointer[cluster.Member] // see Reader
+	members, list *followed
+	avoidUntil    map[string]time.Time // by address; of the goroutine of followTables
 
-	ownVersion atomic.Uint64
-	members    atomic.Int64 // rows known
-	listLoaded atomic.Bool
 	// interruptMembers ends the read of member changes that is under way.
 	interruptMembers atomic.Pointer[context.CancelFunc]
 	listVersion      atomic.Uint64
@@ -88,14 +98,27 @@
 
 // New returns a directory; call Run.
 func New(config Config) *Directory {
-	return &Directory{
+	d := &Directory{
 		config:  config,
+		relay:   newRelay(),
 		events:  make(chan func()),
 		reparse: make(chan struct{}, 1),
 		own:     make(chan struct{}, 1),
 		loaded:  make(chan struct{}),
 		rows:    map[string]memberRow{},
+
+		avoidUntil: map[string]time.Time{},
+	}
+	d.ranked.Store(&[]cluster.Member{config.Self})
+	d.members = &followed{
+		table: MembersTable, wait: memberWait, pause: d.memberPause, apply: d.applyMembers, read: &d.interruptMembers,
+		relay: d.relay, relayed: &d.relay.members,
 	}
+	d.list = &followed{
+		table: config.List.Table, wait: listWait, apply: d.applyList, regained: d.storeRegained,
+		relay: d.relay, relayed: &d.relay.list, leads: true,
+	}
+	return d
 }
 
 // Loaded is closed once the members were read from the store; OwnRow is valid from then on.
@@ -131,11 +154,7 @@
 func (d *Directory) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		d.follow(ctx, followed{table: MembersTable, wait: memberWait, pause: d.memberPause, apply: d.applyMembers, read: &d.interruptMembers})
-		return nil
-	})
-	group.Go(func() error {
-		d.follow(ctx, followed{table: d.config.List.Table, wait: listWait, apply: d.applyList, regained: d.storeRegained})
+		d.followTables(ctx)
 		return nil
 	})
 	group.Go(func() error { return d.writeOwn(ctx) })
@@ -166,100 +185,6 @@
 	}
 }
 
-// followed is a table that a node follows.
-type followed struct {
-	table string
-	wait  time.Duration        // of one read of changes
-	pause func() time.Duration // after changes, so that further ones are read together; nil: none
-	// apply takes over rows; whole tells that they are the whole table.
-	apply    func(ctx context.Context, rows []platform.FeedRow, whole bool)
-	regained func()                              // called when the store answers again; may be nil
-	read     *atomic.Pointer[context.CancelFunc] // set to what ends the read under way; may be nil
-}
-
-// memberPause spreads the reads of many nodes, which all wake at the same change.
-func (d *Directory) memberPause() time.Duration {
-	pause := min(max(minMemberPause, time.Duration(d.members.Load())*pausePerMember), maxMemberPause)
-	return pause/2 + rand.N(pause)
-}
-
-// storeRegained lets the follower of the members read again at once: a store that was down may never answer the read
-// that waits.
-func (d *Directory) storeRegained() {
-	if cancel := d.interruptMembers.Load(); cancel != nil {
-		(*cancel)()
-	}
-}
-
-// follow reads a table and then its changes until ctx ends. After a failure it doesn't wait for changes until the store
-// has answered once: a store that comes back may not answer reads that it got while it was down.
-func (d *Directory) follow(ctx context.Context, of followed) {
-	var after uint64
-	known, lost := false, false
-	retry := backoff{}
-	for ctx.Err() == nil {
-		whole, wait := !known, of.wait
-		if lost {
-			wait = 0
-		}
-		rows, version, interrupted, err := d.readChanges(ctx, of, whole, after, wait)
-		var gap *platform.HistoryLostError
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.As(err, &gap):
-			klog.InfoS("history lost, reading the table again", "table", of.table, "after", after)
-			known = false
-			retry.wait(ctx)
-			continue
-		case err != nil && interrupted:
-			lost = true
-			continue
-		case err != nil:
-			if !lost {
-				klog.InfoS("store lost", "table", of.table, "after", after, "err", err.Error())
-				d.config.Metrics.Counter("store.lost." + of.table).Inc(1)
-			}
-			lost = true
-			retry.wait(ctx)
-			continue
-		}
-		if lost {
-			klog.InfoS("store regained", "table", of.table, "version", version)
-			if of.regained != nil {
-				of.regained()
-			}
-		}
-		lost = false
-		retry.reset()
-		known, after = true, version
-		if len(rows) > 0 || whole {
-			of.apply(ctx, rows, whole)
-		}
-		if len(rows) > 0 && of.pause != nil {
-			sleep(ctx, of.pause())
-		}
-	}
-}
-
-// readChanges makes one read; interrupted tells that it was ended from here.
-func (d *Directory) readChanges(
-	ctx context.Context, of followed, whole bool, after uint64, wait time.Duration,
-) (rows []platform.FeedRow, version uint64, interrupted bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if of.read != nil {
-		of.read.Store(&cancel)
-		defer of.read.Store(nil)
-	}
-	if whole {
-		rows, version, err = d.config.Store.ReadAll(ctx, of.table)
-	} else {
-		rows, version, err = d.config.Store.Changes(ctx, of.table, after, wait)
-	}
-	return rows, version, ctx.Err() != nil, err
-}
-
 func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, whole bool) {
 	d.apply(ctx, func() {
 		if whole {
@@ -268,7 +193,7 @@
 		for _, row := range rows {
 			d.applyMember(row)
 		}
-		d.members.Store(int64(len(d.rows)))
+		d.memberCount.Store(int64(len(d.rows)))
 	})
 	select {
 	case <-d.loaded:
@@ -284,11 +209,14 @@
 	if changed.Key == d.config.Name {
 		d.ownVersion.Store(max(d.ownVersion.Load(), changed.Version))
 	}
+	if changed.Removed && changed.Version < d.rows[changed.Key].version {
+		return
+	}
 	if changed.Removed {
 		delete(d.rows, changed.Key)
 		return
 	}
-	row, err := decodeRow(changed.Value)
+	row, err := DecodeRow(changed.Value)
 	if err != nil {
 		klog.InfoS("member row ignored: not readable", "key", changed.Key, "version", changed.Version, "err", err.Error())
 		return
@@ -302,6 +230,9 @@
 		return
 	}
 	old, seen := d.rows[changed.Key]
+	if seen && changed.Version < old.version {
+		return // from a reader that is behind
+	}
 	d.rows[changed.Key] = memberRow{changed.Version, row}
 	if !seen || old.row.Member != row.Member || old.row.Gone != row.Gone {
 		klog.InfoS("member changed", "member", row.Member.ID, "service", row.Member.Service, "zone", row.Member.Zone,
@@ -334,26 +265,26 @@
 
 // parseAgain replaces the list in force by the same version under the present settings.
 func (d *Directory) parseAgain() {
-	if d.list == nil {
+	if d.current == nil {
 		return
 	}
 	list, err := d.config.List.Parse(d.text)
 	if err != nil {
-		klog.InfoS("service list not read again", "version", d.list.Version, "err", err.Error())
+		klog.InfoS("service list not read again", "version", d.current.Version, "err", err.Error())
 		return
 	}
-	d.list = list
+	d.current = list
 	klog.InfoS("service list read again", "version", list.Version)
 }
 
 // takeList puts a newer list in force. An older one is never taken again.
 func (d *Directory) takeList(list *servicelist.List, text []byte) {
-	if d.list != nil && list.Version <= d.list.Version {
-		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.list.Version)
+	if d.current != nil && list.Version <= d.current.Version {
+		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.current.Version)
 		return
 	}
 	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
-	d.list, d.text = list, text
+	d.current, d.text = list, text
 	d.listVersion.Store(list.Version)
 	d.listLoaded.Store(true)
 	d.config.Metrics.Gauge("list.version").Update(int64(list.Version))
@@ -361,20 +292,26 @@
 
 // publish gives traffic a new snapshot.
 func (d *Directory) publish() {
-	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.list, Members: map[string][]cluster.Member{}}
+	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.current, Members: map[string][]cluster.Member{}}
 	add := func(row Row) {
 		if row.Gone || row.Member.ID == "" {
 			return
 		}
 		snapshot.Members[row.Member.Service] = append(snapshot.Members[row.Member.Service], row.Member)
 	}
+	var others []cluster.Member
 	for _, row := range latestByAddr(d.rows, d.config.Self.PeerAddr) {
 		add(row)
+		if !row.Gone {
+			others = append(others, row.Member)
+		}
 	}
 	if own := d.wanted.Load(); own != nil {
 		snapshot.Self = own.Member
 		add(*own)
 	}
+	ranked := candidates(others, snapshot.Self)
+	d.ranked.Store(&ranked)
 	for _, members := range snapshot.Members {
 		slices.SortFunc(members, func(a, b cluster.Member) int { return strings.Compare(a.ID, b.ID) })
 	}
@@ -452,22 +389,3 @@
 	_, err := d.config.Store.Replace(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Removed: true}, d.ownVersion.Load())
 	return eris.Wrap(err, "remove the own row")
 }
-
-// backoff paces repeated calls.
-type backoff struct{ pause time.Duration }
-
-func (b *backoff) reset() { b.pause = 0 }
-
-func (b *backoff) wait(ctx context.Context) {
-	b.pause = min(max(2*b.pause, firstRetry), lastRetry)
-	sleep(ctx, b.pause+rand.N(b.pause/2))
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -110,7 +110,7 @@
 func (f *memoryFeed) stored(key string) Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	row, _ := decodeRow(f.rows[MembersTable][key].Value)
+	row, _ := DecodeRow(f.rows[MembersTable][key].Value)
 	return row
 }
 
--- a/internal/membership/row.go
+++ b/internal/membership/row.go
@@ -35,7 +35,8 @@
 	return value
 }
 
-func decodeRow(value []byte) (Row, error) {
+// DecodeRow reads the value of a row of MembersTable.
+func DecodeRow(value []byte) (Row, error) {
 	var row Row
 	err := json.Unmarshal(value, &row)
 	return row, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 		Store:   on.Store(),
 		List:    on.List(),
 		View:    n.view,
+		Peers:   n.peers.Kept,
 		Metrics: n.metrics,
 	})
 	n.transport = forward.New(forward.Config{Metrics: n.metrics})
@@ -183,6 +184,8 @@
 	} {
 		mux.Handle(service.PathPrefix(), service)
 	}
+	mux.HandleFunc("GET "+wire.StatePath, n.serveState)
+	mux.Handle("GET "+wire.FollowPath, n.directory.FollowHandler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, wire.ForwardPath+"/") {
 			n.target.ServeHTTP(w, r)
@@ -195,7 +198,7 @@
 // adminHandler serves metrics, health and readiness.
 func (n *Node) adminHandler() http.Handler {
 	ready := func(w http.ResponseWriter, _ *http.Request) {
-		if n.draining.Load() || !n.directory.Ready() {
+		if !n.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}
@@ -270,6 +273,7 @@
 	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.left())
 	n.draining.Store(true)
 	n.target.stop()
+	n.directory.StopServing()
 	end := started.Add(time.Duration(n.drainFor.Load()) - exitMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -53,6 +54,8 @@
 
 type statusArguments struct {
 	Observe time.Duration `arg:"--observe" default:"0s" help:"time over which leases are watched; zones not renewed for 10 s are shown as unreachable"`
+	Rows    bool          `arg:"--rows" help:"the platform has a row store (settings: platform = \"rows\"): show its members"`
+	Ask     bool          `arg:"--ask" help:"with --rows: ask each node for the list in force, its reader and its load"`
 }
 
 // Description implements the help text of go-arg.
@@ -84,8 +87,8 @@
 	return nil
 }
 
-// Main runs the command with its arguments and returns the exit code.
-func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+// Main runs the command with its arguments and returns the exit code. rows opens the row store at an address.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer, rows func(addr string) RowStore) int {
 	if len(args) == 1 && args[0] == "--version" {
 		// go-arg's own flag would hide the option of that name that get has.
 		fmt.Fprintln(stdout, "acacialock "+version.Version)
@@ -111,14 +114,14 @@
 		return ExitBadInput
 	}
 	printer := &printer{format: parsed.Output, stdout: stdout, stderr: stderr}
-	err = run(ctx, &parsed, printer)
+	err = run(ctx, &parsed, printer, rows)
 	if err != nil {
 		printer.failure(err)
 	}
 	return ExitCode(err)
 }
 
-func run(ctx context.Context, args *arguments, out *printer) error {
+func run(ctx context.Context, args *arguments, out *printer, rows func(addr string) RowStore) error {
 	if args.Explain != nil {
 		return explain(args.Explain, os.Stdin, out)
 	}
@@ -131,6 +134,9 @@
 	if err := args.checkNumbers(); err != nil {
 		return err
 	}
+	if args.Status != nil && args.Status.Rows {
+		return rowStatus(ctx, rows(args.Platform), args, out)
+	}
 	client := platform.NewClient(platform.Config{Addr: args.Platform, OperationTimeout: args.Timeout})
 	defer client.Close()
 	operator := &Operator{Table: client, Objects: client.Objects(), Name: args.Operator, Progress: out.progress}
@@ -147,6 +153,21 @@
 	return status(ctx, operator, args.Status.Observe, out)
 }
 
+func rowStatus(ctx context.Context, store RowStore, args *arguments, out *printer) error {
+	ctx, cancel := context.WithTimeout(ctx, args.Timeout)
+	defer cancel()
+	var ask *http.Client
+	if args.Status.Ask {
+		transport := &http.Transport{DisableKeepAlives: true}
+		ask = &http.Client{Transport: transport}
+	}
+	state, err := store.Status(ctx, ask)
+	if err != nil {
+		return err
+	}
+	return out.result(rowStatusResult{RowStatus: state, asked: args.Status.Ask})
+}
+
 // checkNumbers requires that no option is negative.
 func (a *arguments) checkNumbers() error {
 	negative := a.Timeout < 0 ||
--- a/internal/operator/explain_test.go
+++ b/internal/operator/explain_test.go
@@ -25,7 +25,7 @@
 	assert.NilError(t, os.WriteFile(target, []byte(
 		`  12.3 node-1 I1204 06:16:28.773544   18431 log.go:14] "target side refused" request="r7" in_flight=9`+"\n"), 0o600))
 	var stdout, stderr bytes.Buffer
-	code := Main(context.Background(), []string{"explain", "r7", entry, target}, &stdout, &stderr)
+	code := Main(context.Background(), []string{"explain", "r7", entry, target}, &stdout, &stderr, nil)
 	assert.Equal(t, code, ExitOK, stderr.String())
 	lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
 	assert.Equal(t, len(lines), 4, stdout.String())
@@ -33,5 +33,5 @@
 	assert.Assert(t, strings.Contains(lines[1], "queue-full"))
 	assert.Assert(t, strings.Contains(lines[2], `request="r7.a1"`), "calls of the request's run are part of its story")
 	assert.Equal(t, lines[3], "1 lines can't be read and were skipped")
-	assert.Equal(t, Main(context.Background(), []string{"explain", "r7", filepath.Join(dir, "none")}, &stdout, &stderr), ExitBadInput)
+	assert.Equal(t, Main(context.Background(), []string{"explain", "r7", filepath.Join(dir, "none")}, &stdout, &stderr, nil), ExitBadInput)
 }
--- a/internal/operator/zones_test.go
+++ b/internal/operator/zones_test.go
@@ -123,7 +123,7 @@
 	}
 	run := func(args string) (int, string) {
 		var stdout, stderr bytes.Buffer
-		code := Main(t.Context(), strings.Fields(args), &stdout, &stderr)
+		code := Main(t.Context(), strings.Fields(args), &stdout, &stderr, nil)
 		assert.Equal(t, code != ExitOK, strings.Contains(stderr.String(), "error: "), "%s: %s", args, stderr.String())
 		return code, stdout.String()
 	}
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 
@@ -16,6 +17,7 @@
 		Service:  s.Service,
 		Zone:     s.Zone,
 		Region:   s.Region,
-		PeerAddr: s.PeerAddr,
+		PeerAddr: cmp.Or(s.PeerAdvertiseAddr, s.PeerAddr),
+		LinkMbps: s.LinkMbps,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,10 +29,12 @@
 	Zone    string
 	Region  string
 
-	EntryAddr  string // IP:port for callers and for the local target's outgoing calls
-	PeerAddr   string // IP:port for other nodes; announced to them
-	AdminAddr  string // IP:port for metrics, health and status
-	TargetAddr string // IP:port of the local target
+	EntryAddr string // IP:port for callers and for the local target's outgoing calls
+	PeerAddr  string // IP:port for other nodes
+	// PeerAdvertiseAddr is the IP:port by which other nodes reach PeerAddr; PeerAddr by default. PlatformRows only.
+	PeerAdvertiseAddr string
+	AdminAddr         string // IP:port for metrics, health and status
+	TargetAddr        string // IP:port of the local target
 	// TargetHealthPath is the path asked for the target's health; empty: the target has no health endpoint.
 	TargetHealthPath string
 	PlatformAddr     string   // IP:port of the platform
@@ -46,6 +48,9 @@
 	// RetrySlack more in each window. PlatformRows only; 0: the defaults of the service list.
 	RetryRatio float64
 	RetrySlack int
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s; 0: not known. Of the nodes of a zone, the one with the widest
+	// link reads the store for the others. PlatformRows only.
+	LinkMbps float64
 
 	DrainTimeout             time.Duration // longest wait for requests in flight at the end; default 30 s
 	TargetConnectTimeout     time.Duration // for a connection to the target; default 1 s
@@ -94,6 +99,7 @@
 	Region                   string   `toml:"region"`
 	EntryAddr                string   `toml:"entry_addr"`
 	PeerAddr                 string   `toml:"peer_addr"`
+	PeerAdvertiseAddr        string   `toml:"peer_advertise_addr"`
 	AdminAddr                string   `toml:"admin_addr"`
 	TargetAddr               string   `toml:"target_addr"`
 	TargetHealthPath         string   `toml:"target_health_path"`
@@ -104,6 +110,7 @@
 	CheckInAddr              string   `toml:"check_in_addr"`
 	RetryRatio               float64  `toml:"retry_ratio"`
 	RetrySlack               int      `toml:"retry_slack"`
+	LinkMbps                 float64  `toml:"link_mbps"`
 	DrainTimeout             *string  `toml:"drain_timeout"`
 	TargetConnectTimeout     *string  `toml:"target_connect_timeout"`
 	TargetHealthInterval     *string  `toml:"target_health_interval"`
@@ -131,21 +138,23 @@
 
 func fromText(document *tomlcheck.Document, text *settingsText) *Settings {
 	loaded := &Settings{
-		Name:             text.PeerAddr,
-		Service:          text.Service,
-		Zone:             text.Zone,
-		Region:           text.Region,
-		EntryAddr:        text.EntryAddr,
-		PeerAddr:         text.PeerAddr,
-		AdminAddr:        text.AdminAddr,
-		TargetAddr:       text.TargetAddr,
-		TargetHealthPath: text.TargetHealthPath,
-		PlatformAddr:     text.PlatformAddr,
-		Seeds:            text.Seeds,
-		EntryServices:    text.EntryServices,
-		CheckInAddr:      text.CheckInAddr,
-		RetryRatio:       text.RetryRatio,
-		RetrySlack:       text.RetrySlack,
+		Name:              text.PeerAddr,
+		Service:           text.Service,
+		Zone:              text.Zone,
+		Region:            text.Region,
+		EntryAddr:         text.EntryAddr,
+		PeerAddr:          text.PeerAddr,
+		AdminAddr:         text.AdminAddr,
+		TargetAddr:        text.TargetAddr,
+		TargetHealthPath:  text.TargetHealthPath,
+		PlatformAddr:      text.PlatformAddr,
+		Seeds:             text.Seeds,
+		EntryServices:     text.EntryServices,
+		CheckInAddr:       text.CheckInAddr,
+		RetryRatio:        text.RetryRatio,
+		PeerAdvertiseAddr: text.PeerAdvertiseAddr,
+		RetrySlack:        text.RetrySlack,
+		LinkMbps:          text.LinkMbps,
 	}
 	if text.Name != nil {
 		loaded.Name = *text.Name
@@ -200,6 +209,14 @@
 	if loaded.RetryRatio < 0 || loaded.RetryRatio > 1 {
 		document.Add(tomlcheck.OutOfRange, tomlcheck.Key{"retry_ratio"}, "%v is out of range: allowed is 0 to 1", loaded.RetryRatio)
 	}
+	if !(loaded.LinkMbps >= 0) {
+		document.Add(tomlcheck.OutOfRange, tomlcheck.Key{"link_mbps"}, "%v is not a bandwidth", loaded.LinkMbps)
+	}
+	if loaded.PeerAdvertiseAddr == "" {
+		loaded.PeerAdvertiseAddr = loaded.PeerAddr
+	} else {
+		document.CheckAddress(tomlcheck.Key{"peer_advertise_addr"}, loaded.PeerAdvertiseAddr, true)
+	}
 	document.CheckRange(tomlcheck.Key{"retry_slack"}, loaded.RetrySlack, 0, maxRetrySlack)
 }
 
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -75,6 +75,7 @@
 		{"region", old.Region, s.Region},
 		{"entry_addr", old.EntryAddr, s.EntryAddr},
 		{"peer_addr", old.PeerAddr, s.PeerAddr},
+		{"peer_advertise_addr", old.PeerAdvertiseAddr, s.PeerAdvertiseAddr},
 		{"admin_addr", old.AdminAddr, s.AdminAddr},
 		{"check_in_addr", old.CheckInAddr, s.CheckInAddr},
 		{"target_addr", old.TargetAddr, s.TargetAddr},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,12 @@
 // ForwardPath is the path prefix of forwarded requests on the peer listener; the original path and query follow it.
 const ForwardPath = "/acacialock/v1/forward"
 
+// FollowPath is where nodes of a zone follow the one that reads the store for them.
+const FollowPath = "/acacialock/v1/follow"
+
+// StatePath is where a node tells operators what it knows, as cluster.NodeState in JSON.
+const StatePath = "/acacialock/v1/state"
+
 // RelayPath is the path prefix of keyed calls relayed to a node of the service's home region.
 const RelayPath = "/acacialock/v1/relay"
 
