Log moves away from slow targets for sampled requests only

A third of all sends may be such a move, and each wrote two lines. The number of moves is in the lines of failed and answered requests. Lines of severity error were written three times, once for each severity; klog's one_output mends that.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -98,7 +98,7 @@
 func logToStdout(sink io.Writer, level int) error {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	if err := flags.Parse([]string{"-logtostderr=false", "-alsologtostderr=false", "-stderrthreshold=FATAL", fmt.Sprintf("-v=%d", level)}); err != nil {
+	if err := flags.Parse([]string{"-logtostderr=false", "-one_output=true", "-alsologtostderr=false", "-stderrthreshold=FATAL", fmt.Sprintf("-v=%d", level)}); err != nil {
 		return err
 	}
 	klog.SetOutput(sink)
--- a/internal/inbound/log.go
+++ b/internal/inbound/log.go
@@ -6,12 +6,17 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
-// logRefusal writes why a request was not served and the load at that time.
+// logRefusal writes why a request was not served and the load at that time. That one moves on from a slow target is plain.
 func (h *Handler) logRefusal(r *http.Request, failed *failure.Error) {
+	id := r.Header.Get(h.config.RequestID)
+	if failed.Reason == failure.TargetSlow && !telemetry.Sampled(id) {
+		return
+	}
 	load := h.gate.Sample()
-	klog.InfoS("target side refused", "request", r.Header.Get(h.config.RequestID), "reason", failed.Reason,
+	klog.InfoS("target side refused", "request", id, "reason", failed.Reason,
 		"outcome", failed.Outcome, "detail", failed.Detail, "in_flight", load.InFlight, "queued", load.Queued)
 }
 
