Measure a slow spell against the target's usual pace

Cause: a worker that has just started tells the doubled time of all its work (200, and 1000 in a slow spell).

Ruled out: late members and lists (in force 0.6 s after the start), the workers' capacity (most refusals had no request in flight and nine waiting).

Change: slow is 1.5 times the lowest pace seen; a spell of over 1 s sets it anew.

Test: TestColdTargetGetsWork fails on the code before.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -44,6 +44,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// SIGHUP is caught from the first line to the end of the process: its default action would end a node that starts or
+	// drains.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	var args arguments
 	arg.MustParse(&args)
 	loaded, err := settings.Load(args.Config)
@@ -62,9 +66,6 @@
 		return exitUsage
 	}
 	defer klog.Flush()
-	// SIGHUP is caught to the end of the process: its default action would end a node that drains.
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	started, err := build(loaded)
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -13,10 +13,10 @@
 	// paceRecheck is the time between two readings while requests wait for the target to get faster. It is below the 60
 	// questions a second that platforms allow for each target.
 	paceRecheck = 20 * time.Millisecond
-	// slowFactor is the factor from which a target counts as slow.
+	// slowFactor is the factor to its usual pace from which a target counts as slow.
 	slowFactor = 1.5
-	// longestSpell is the time after which a slow target counts as one whose usual speed has changed. Waiting would not
-	// help then, and the balancer sees the longer times.
+	// longestSpell is the time after which the pace of a slow target counts as its usual one. Waiting would not help then, and
+	// the balancer sees the longer times.
 	longestSpell = time.Second
 	// spellGap is the time between two readings from which they say nothing about what lies between them.
 	spellGap = 100 * time.Millisecond
@@ -31,31 +31,46 @@
 // spell of 150 ms takes five times as long, and waiting for the end of the spell or going elsewhere is quicker. It is not
 // safe for concurrent use and does no I/O.
 type pace struct {
-	told      bool // the target tells its pace
-	factor    float64
-	at        time.Time
+	told   bool // the target tells its pace
+	factor float64
+	at     time.Time
+	// usual is the factor of the target outside slow spells. It is above 1 while a target that has just started is slow as a
+	// whole: measured against 1, such targets got no work for a second after each slow reading.
+	usual     float64
 	slowSince time.Time // of the present slow spell; zero: the target is not slow
+	spellLow  float64   // lowest factor of the present slow spell
 	askAgain  time.Time // no question before
 }
 
 // read takes over a reading.
 func (p *pace) read(factor float64, now time.Time) {
 	unseen := now.Sub(p.at) > spellGap
+	if !p.told || factor < p.usual {
+		p.usual = factor
+	}
 	p.told, p.factor, p.at = true, factor, now
 	switch {
-	case factor < slowFactor:
+	case !p.above():
 		p.slowSince = time.Time{}
+		return
 	case p.slowSince.IsZero() || unseen:
-		p.slowSince = now
+		p.slowSince, p.spellLow = now, factor
+	}
+	p.spellLow = min(p.spellLow, factor)
+	if now.Sub(p.slowSince) >= longestSpell {
+		p.usual = p.spellLow
 	}
 }
 
+// above reports whether the last reading is that of a slow spell.
+func (p *pace) above() bool { return p.factor >= slowFactor*p.usual }
+
 // failed takes over that a question was not answered.
 func (p *pace) failed(now time.Time) { p.askAgain = now.Add(readingPause) }
 
 // slow reports whether the last reading speaks against a start now.
 func (p *pace) slow(now time.Time) bool {
-	return p.told && p.factor >= slowFactor && now.Sub(p.slowSince) < longestSpell && !p.outdated(now)
+	return p.told && p.above() && !p.outdated(now)
 }
 
 // stale reports whether a new reading is needed before a request may start.
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -139,6 +139,7 @@
 		told := factor.Load()
 		return float64(told), told > 0
 	})
+	gate.SetPace(1)
 	gate.SetPace(float64(first))
 	return gate, factor
 }
@@ -204,6 +205,37 @@
 	})
 }
 
+// TestColdTargetGetsWork guards against a target that gets no work after its start: all its work takes twice as long then,
+// and its slow spells ten times. Recorded after a loss of power on trouble-1 of hqbw-mesh.
+func TestColdTargetGetsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, factor := New(Limits{Slots: 2, Queue: 4}), &atomic.Int64{}
+		gate.OnPaceNeeded(func() (float64, bool) { return float64(factor.Load()), true })
+		gate.SetPace(10)
+		for range 50 { // 5 s in spells of 100 ms
+			factor.Store(2)
+			gate.SetPace(2)
+			began := time.Now()
+			slot, refused := enter(gate, time.Second, false)
+			assert.Assert(t, refused == nil)
+			assert.Assert(t, time.Since(began) <= time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			slot.Release(true)
+			factor.Store(10)
+			gate.SetPace(10)
+			_, refused = enter(gate, time.Second, true)
+			assert.Equal(t, refused.Reason, failure.TargetSlow)
+			time.Sleep(50 * time.Millisecond)
+		}
+		factor.Store(1) // warm
+		gate.SetPace(1)
+		factor.Store(2)
+		time.Sleep(50 * time.Millisecond)
+		_, refused := enter(gate, time.Second, true)
+		assert.Equal(t, refused.Reason, failure.TargetSlow)
+	})
+}
+
 // TestShortWorkStartsAtAnyPace guards against detours that cost more than a slow start.
 func TestShortWorkStartsAtAnyPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -225,6 +257,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var times estimator
 		gate := New(Limits{Slots: 2, Queue: 4})
+		gate.SetPace(1)
 		gate.SetPace(5) // nothing reads the pace, so requests start
 		slot, refused := enter(gate, time.Second, true)
 		assert.Assert(t, refused == nil)
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
@@ -71,7 +72,7 @@
 	if t.pending != nil && t.pending.TargetID == id {
 		t.pending.Draining = true
 	}
-	if !t.state.leave(id, born) {
+	if !t.state.leave(id, born, time.Now()) {
 		klog.InfoS("departure of an unknown target", "target", id, "born", born, "known", t.state.id)
 		return
 	}
@@ -91,6 +92,7 @@
 			sequence: earlier.Target.Sequence,
 			draining: earlier.Member.Draining,
 			gone:     earlier.Gone,
+			heard:    time.Now(),
 		}
 	}
 	t.fullSpeed = earlier.Member.FullSpeed
@@ -103,7 +105,7 @@
 
 // apply acts on a check-in. The mutex is held.
 func (t *localTarget) apply(announced *CheckIn) {
-	changed := t.state.apply(announced)
+	changed := t.state.apply(announced, time.Now())
 	unserved := t.current.Load() == nil && !t.state.gone && t.state.id == announced.TargetID
 	switch {
 	case changed == changeBoot || unserved:
