--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
-.PHONY: help build test check demo bench generate
+.PHONY: help build test check demo bench generate soak
+
+SEED ?= 1
+MINUTES ?= 5
 
 help:
-	@echo "make demo | test | bench [BENCH=full] | build | check | generate"
+	@echo "make demo [ROWS=1] | test | bench [BENCH=full] | soak [SEED=1] [MINUTES=5] | build | check | generate"
 
 build:
 	go build -o bin/ ./cmd/...
@@ -16,7 +19,10 @@
 	go generate ./internal/rpc
 
 demo:
-	go run ./demo
+	go run ./demo $(if $(ROWS),--rows)
+
+soak:
+	go run ./soak --seed $(SEED) --minutes $(MINUTES) --quiet --keep soak-failed
 
 bench:
 	sh scripts/bench.sh $(BENCH)
--- a/demo/main.go
+++ b/demo/main.go
@@ -1,5 +1,6 @@
-// Command demo starts the platform's stand-in and two services with three targets each, with a node beside each
-// target, applies a service list, prints a curl line, and ends what it started on Ctrl-C.
+// Command demo starts a platform's stand-in, targets and a node beside each target, puts a service list in force, prints a
+// curl line, and ends what it started on Ctrl-C: by default on the product's own platform with two services of three targets
+// each, with --rows in the form of the users' platform.
 package main
 
 import (
@@ -10,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"github.com/acacialock/acacialock/internal/testcluster"
 )
 
@@ -32,10 +35,20 @@
 	{Service: "inventory", Region: "guanacaste", Zone: "gc-b"},
 }
 
+type arguments struct {
+	Rows bool `arg:"--rows" help:"run in the form of the users' platform"`
+}
+
 func main() {
+	var args arguments
+	arg.MustParse(&args)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx); err != nil {
+	start := run
+	if args.Rows {
+		start = runRows
+	}
+	if err := start(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
