Readers that give way or lose the store cost fewer calls

A follower whose reader ends its stream tries the next one for 300 ms before it reads the store; a node that lost the store alone follows any other reader; of a node that lost the store, only the follower of the list asks, the other follower and the writer of the own row wait for it.

Tests: TestFollowersMoveOnWithoutTheStore, TestLostStoreIsAskedOnce, and TestFollowersLeaveAReaderThatLostTheStore, which now asks more: the former reader gets the list from the others.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,9 @@
 	stopping    atomic.Bool
 	ranked      atomic.Pointer[[]cluster.Member] // see candidates
 
+	backMu sync.Mutex
+	back   chan struct{} // closed when the store is found back
+
 	relay         *relay
 	reader        atomic.Pointer[cluster.Member] // see Reader
 	members, list *followed
@@ -101,6 +105,7 @@
 	d := &Directory{
 		config:  config,
 		relay:   newRelay(),
+		back:    make(chan struct{}),
 		events:  make(chan func()),
 		reparse: make(chan struct{}, 1),
 		own:     make(chan struct{}, 1),
@@ -115,7 +120,7 @@
 		relay: d.relay, relayed: &d.relay.members,
 	}
 	d.list = &followed{
-		table: config.List.Table, wait: listWait, apply: d.applyList, regained: d.storeRegained,
+		table: config.List.Table, wait: listWait, apply: d.applyList,
 		relay: d.relay, relayed: &d.relay.list, leads: true,
 	}
 	return d
@@ -355,7 +360,11 @@
 				retry.reset()
 				break
 			}
-			retry.wait(ctx)
+			if d.list.lost.Load() {
+				d.awaitStore(ctx)
+			} else {
+				retry.wait(ctx)
+			}
 		}
 	}
 }
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -19,12 +19,11 @@
 	wait  time.Duration        // of one read of changes
 	pause func() time.Duration // after changes, so that further ones are read together; nil: none
 	// apply takes over rows; whole tells that they are the whole table.
-	apply    func(ctx context.Context, rows []platform.FeedRow, whole bool)
-	regained func()                              // called when the store answers again; may be nil
-	read     *atomic.Pointer[context.CancelFunc] // set to what ends the read under way; may be nil
-	relay    *relay
-	relayed  *relayTable // of relay
-	leads    bool        // the reads of this table tell followers whether the store answers
+	apply   func(ctx context.Context, rows []platform.FeedRow, whole bool)
+	read    *atomic.Pointer[context.CancelFunc] // set to what ends the read under way; may be nil
+	relay   *relay
+	relayed *relayTable // of relay
+	leads   bool        // the reads of this table tell followers whether the store answers
 
 	after atomic.Uint64 // version of the state that is known
 	known atomic.Bool   // the table was read
@@ -44,8 +43,10 @@
 // followTables follows a reader of the zone while there is one, else the store, until ctx ends.
 func (d *Directory) followTables(ctx context.Context) {
 	for ctx.Err() == nil {
-		if reader := d.followStore(ctx); reader != nil {
+		reader := d.followStore(ctx)
+		for reader != nil {
 			d.followReader(ctx, reader)
+			reader = d.nextReader(ctx)
 		}
 	}
 }
@@ -76,12 +77,37 @@
 	return pause/2 + rand.N(pause)
 }
 
-// storeRegained lets the follower of the members read again at once: a store that was down may never answer the read
-// that waits.
+// storeRegained lets the follower of the members and the writer of the own row go on at once: a store that was down may
+// never answer the read that waits.
 func (d *Directory) storeRegained() {
 	if cancel := d.interruptMembers.Load(); cancel != nil {
 		(*cancel)()
 	}
+	d.backMu.Lock()
+	defer d.backMu.Unlock()
+	close(d.back)
+	d.back = make(chan struct{})
+}
+
+// lostWait is the time after which the store is asked all the same while the follower of the list finds it lost. All calls
+// are priced, refused ones too, and one of three is enough to see that the store is back.
+const lostWait = 5 * time.Second
+
+// awaitStore waits until the follower of the list finds the store back.
+func (d *Directory) awaitStore(ctx context.Context) {
+	d.backMu.Lock()
+	back := d.back
+	d.backMu.Unlock()
+	if !d.list.lost.Load() {
+		return
+	}
+	timer := time.NewTimer(lostWait)
+	defer timer.Stop()
+	select {
+	case <-back:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // follow reads a table and then its changes until ctx ends. After a failure it doesn't wait for changes until the store
@@ -112,13 +138,17 @@
 			continue
 		case err != nil:
 			d.storeLost(of, after, err)
-			retry.wait(ctx)
+			if of.leads || !d.list.lost.Load() {
+				retry.wait(ctx)
+			} else {
+				d.awaitStore(ctx)
+			}
 			continue
 		}
 		if of.lost.Swap(false) {
 			klog.InfoS("store regained", "table", of.table, "version", version)
-			if of.regained != nil {
-				of.regained()
+			if of.leads {
+				d.storeRegained()
 			}
 		}
 		retry.reset()
--- a/internal/membership/relay_test.go
+++ b/internal/membership/relay_test.go
@@ -24,12 +24,16 @@
 // countedFeed is one node's way to the store; it counts the reads and can be cut off.
 type countedFeed struct {
 	*memoryFeed
-	reads atomic.Int64
-	cut   atomic.Bool // reads get no answer within their wait
+	reads   atomic.Int64
+	members atomic.Int64 // those of the members
+	cut     atomic.Bool  // reads get no answer within their wait
 }
 
 func (f *countedFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
 	f.reads.Add(1)
+	if table == MembersTable {
+		f.members.Add(1)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
@@ -189,9 +193,42 @@
 	for _, node := range nodes[1:] {
 		eventually(t, "the list is in force", func() bool { return node.list() == 2 })
 	}
-	assert.Equal(t, nodes[0].list(), uint64(1))
+	// The one that lost the store gets the list from those who have it.
+	eventually(t, "the former reader has the list", func() bool { return nodes[0].list() == 2 })
+	assert.Assert(t, nodes[0].feed.cut.Load())
+}
+
+// Guards against calls to the store by all nodes of a zone each time that its reader changes.
+func TestFollowersMoveOnWithoutTheStore(t *testing.T) {
+	feed := newMemoryFeed()
+	putList(feed, 1)
+	nodes := newZone(t, feed, "b", "c", "d")
+	untilFollowing(t, nodes)
+	var before []int64
+	for _, node := range nodes[1:] {
+		before = append(before, node.feed.reads.Load())
+	}
+	better := newZone(t, feed, "a")
+	untilFollowing(t, append(better, nodes...))
+	for i, node := range nodes[1:] {
+		assert.Equal(t, node.feed.reads.Load(), before[i], node.name)
+	}
+}
+
+// Guards against a lost store that is asked by both followers and the writer of a node, and against a writer that goes on
+// to wait when the store is back.
+func TestLostStoreIsAskedOnce(t *testing.T) {
+	feed := newMemoryFeed()
+	putList(feed, 1)
+	nodes := newZone(t, feed, "a")
+	eventually(t, "the own row is stored", nodes[0].directory.Announced)
+	nodes[0].feed.cut.Store(true)
+	eventually(t, "the store is lost", func() bool { return nodes[0].directory.StoreLost() && nodes[0].directory.members.lost.Load() })
+	before := nodes[0].feed.members.Load()
+	time.Sleep(time.Second)
+	assert.Assert(t, nodes[0].feed.members.Load() <= before+1)
 	nodes[0].feed.cut.Store(false)
-	eventually(t, "the reader is back", func() bool { return nodes[0].list() == 2 })
+	eventually(t, "the store is found", func() bool { return !nodes[0].directory.members.lost.Load() })
 }
 
 // Guards against a node that ends and holds up those who follow it, or is followed again while it ends.
@@ -317,12 +354,14 @@
 	}
 	assert.DeepEqual(t, ids, []string{"w", "b", "m"})
 	none := func(string) bool { return false }
-	reader, ok := chooseReader(ranked, "m", none)
+	reader, ok := chooseReader(ranked, "m", false, none)
 	assert.Assert(t, ok && reader.ID == "w")
-	reader, ok = chooseReader(ranked, "m", func(addr string) bool { return addr == "w" })
+	reader, ok = chooseReader(ranked, "m", false, func(addr string) bool { return addr == "w" })
 	assert.Assert(t, ok && reader.ID == "b")
-	_, ok = chooseReader(ranked, "m", func(string) bool { return true })
+	_, ok = chooseReader(ranked, "m", false, func(string) bool { return true })
 	assert.Assert(t, !ok)
-	_, ok = chooseReader(ranked, "w", none)
+	_, ok = chooseReader(ranked, "w", false, none)
 	assert.Assert(t, !ok)
+	reader, ok = chooseReader(ranked, "w", true, none)
+	assert.Assert(t, ok && reader.ID == "b")
 }
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -26,6 +26,9 @@
 	relaySilence = 1200 * time.Millisecond
 	// lookInterval is the time between two looks for a reader to follow.
 	lookInterval = time.Second
+	// nextReaderTimeout bounds the try to follow another reader before the store is read. It keeps the time without news under
+	// that in which a list must be in force.
+	nextReaderTimeout = 300 * time.Millisecond
 	// avoidReader is the time for which a reader that refused or went silent is not asked again.
 	avoidReader = 5 * time.Second
 	// maxListBytes bounds an unpacked value; it is above the store's limit of 1 MB for an answer.
@@ -48,14 +51,15 @@
 	return ranked
 }
 
-// chooseReader returns the member to follow; false when this node is to read the store itself.
-func chooseReader(ranked []cluster.Member, self string, avoided func(addr string) bool) (cluster.Member, bool) {
+// chooseReader returns the member to follow; false when this node is to read the store itself. A node that lost the store
+// follows any other, since the store may refuse this one alone.
+func chooseReader(ranked []cluster.Member, self string, lost bool, avoided func(addr string) bool) (cluster.Member, bool) {
 	for _, member := range ranked {
-		if member.ID == self {
-			return cluster.Member{}, false
-		}
-		if !avoided(member.PeerAddr) {
+		switch {
+		case member.ID != self && !avoided(member.PeerAddr):
 			return member, true
+		case member.ID == self && !lost:
+			return cluster.Member{}, false
 		}
 	}
 	return cluster.Member{}, false
@@ -127,10 +131,10 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if !d.members.known.Load() || !d.list.known.Load() || d.list.lost.Load() || d.stopping.Load() {
+		if !d.members.known.Load() || !d.list.known.Load() || d.stopping.Load() {
 			continue
 		}
-		reader, ok := chooseReader(*d.ranked.Load(), d.selfID(), d.avoided)
+		reader, ok := chooseReader(*d.ranked.Load(), d.selfID(), d.list.lost.Load(), d.avoided)
 		if !ok {
 			continue
 		}
@@ -142,6 +146,31 @@
 	}
 }
 
+// nextReader tries to follow another reader at once, so that a reader that gives way to a better one costs no calls to the
+// store.
+func (d *Directory) nextReader(ctx context.Context) *upstream {
+	reader, ok := chooseReader(*d.ranked.Load(), d.selfID(), false, d.avoided)
+	if !ok || ctx.Err() != nil || d.stopping.Load() {
+		return nil
+	}
+	trial, cancel := context.WithCancel(ctx)
+	stop := time.AfterFunc(nextReaderTimeout, cancel)
+	found, err := d.connect(trial, reader)
+	if !stop.Stop() || err != nil {
+		cancel()
+		if found != nil {
+			found.close()
+		}
+		if err == nil {
+			err = trial.Err()
+		}
+		d.avoid(reader, err)
+		return nil
+	}
+	context.AfterFunc(ctx, cancel)
+	return found
+}
+
 // selfID is the id that the own member has in the ranking.
 func (d *Directory) selfID() string {
 	if own := d.wanted.Load(); own != nil {
