Enforce the limits of headers and idle connections; health paths and limits in the product's list

MaxHeaderBytes (431), HeaderTimeout and IdleTimeout of the list in force hold at the entry listener, MaxBodyBytes did before. A body that goes on after its answer has begun is no header: TestUploadAfterTheAnswerHasBegun fails when the header's timer starts at any byte.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -41,7 +41,7 @@
 		addr    string
 		handler http.Handler
 	}{
-		{&opened.entry, d.settings.EntryAddr, framing.Handler(framing.CloseWhile(&opened.draining, d.entry), d.entry.RefuseAmbiguous)},
+		{&opened.entry, d.settings.EntryAddr, framing.Handler(framing.CloseWhile(&opened.draining, d.entry), d.entry.RefuseHeader)},
 		{&opened.peer, d.settings.PeerAddr, d.peerHandler()},
 		{&opened.admin, d.settings.AdminAddr, d.adminHandler(opened)},
 	}
@@ -52,7 +52,10 @@
 			return nil, err
 		}
 		one.to.socket = framing.Listen(socket)
-		one.to.server = &http.Server{Handler: one.handler, ConnContext: framing.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
+		if one.to == &opened.entry {
+			one.to.socket = framing.ListenLimited(socket, d.entry.CallerLimits)
+		}
+		one.to.server = &http.Server{ConnState: framing.ConnState, Handler: one.handler, ConnContext: framing.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout}
 	}
 	return opened, nil
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -13,6 +13,7 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/forward"
+	"github.com/acacialock/acacialock/internal/framing"
 	"github.com/acacialock/acacialock/internal/keys"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/telemetry"
@@ -52,9 +53,25 @@
 	return &Handler{config: config, latencies: newLatencies(), stopped: stopped, stop: stop}
 }
 
-// RefuseAmbiguous answers a request whose body length is given in two ways.
-func (h *Handler) RefuseAmbiguous(w http.ResponseWriter, request *http.Request) {
+// CallerLimits are those of the service list in force, for the listener of callers.
+func (h *Handler) CallerLimits() framing.Limits {
+	list := h.config.View.Load().List
+	if list == nil {
+		return framing.Limits{}
+	}
+	return framing.Limits{
+		HeaderBytes: list.CallerLimits.MaxHeaderBytes,
+		HeaderTime:  list.CallerLimits.HeaderTimeout,
+		IdleTime:    list.CallerLimits.IdleTimeout,
+	}
+}
+
+// RefuseHeader answers a request with a faulty header.
+func (h *Handler) RefuseHeader(w http.ResponseWriter, request *http.Request, fault framing.Fault) {
 	failed := failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
+	if fault == framing.HeaderTooLarge {
+		failed = failure.New(failure.HeaderTooLarge, failure.NotRun, "the header is longer than the service list allows")
+	}
 	h.logRefusal(request, failed)
 	h.refuse(w, failed)
 }
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -11,6 +11,7 @@
 	UnknownService      Reason = "unknown-service"
 	UnknownRoute        Reason = "unknown-route"
 	BodyTooLarge        Reason = "body-too-large"
+	HeaderTooLarge      Reason = "header-too-large"
 	BadRequest          Reason = "bad-request"
 	NoServiceList       Reason = "no-service-list"
 	NoTarget            Reason = "no-target"
@@ -60,6 +61,7 @@
 	UnknownService:      http.StatusNotFound,
 	UnknownRoute:        http.StatusNotFound,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
 	BadRequest:          http.StatusBadRequest,
 	DepthExceeded:       http.StatusLoopDetected,
 	DeadlineExceeded:    http.StatusGatewayTimeout,
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // maxHeaderBytes bounds what is kept of a header that has not ended; net/http refuses longer ones.
@@ -22,27 +23,38 @@
 )
 
 // Listen wraps a listener; its server must use ConnContext and Handler.
-func Listen(listener net.Listener) net.Listener { return wrapped{listener} }
+func Listen(listener net.Listener) net.Listener {
+	return wrapped{listener, func() Limits { return Limits{} }}
+}
 
-type wrapped struct{ net.Listener }
+type wrapped struct {
+	net.Listener
+	limits func() Limits
+}
 
 func (l wrapped) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, inHeader: true}, nil
+	return &conn{Conn: accepted, limits: l.limits, inHeader: true}, nil
 }
 
 // conn looks at the header of each request that arrives after an answer was written. A request that a caller sends before
 // the answer to the one before is not looked at.
 type conn struct {
 	net.Conn
+	limits func() Limits
 
-	mu        sync.Mutex
-	inHeader  bool
-	header    []byte
-	ambiguous bool
+	mu       sync.Mutex
+	inHeader bool
+	header   []byte
+	fault    Fault
+	// waiting tells that no request is under way. What arrives after an answer has begun may be the rest of a body, which
+	// no limit of headers concerns.
+	waiting bool
+	late    *time.Timer // runs while a header arrives
+	idle    *time.Timer // runs while no request is under way
 }
 
 // Read implements net.Conn.
@@ -58,14 +70,26 @@
 
 // look adds bytes to the header and judges it at its end. The mutex is held.
 func (c *conn) look(data []byte) {
+	limits := c.limits()
+	if len(c.header) == 0 && c.waiting {
+		c.headerBegins(limits)
+	}
 	c.header = append(c.header, data...)
 	end := bytes.Index(c.header, headerEnd)
 	if end < 0 && len(c.header) < maxHeaderBytes {
 		return
 	}
+	c.headerEnded()
+	c.waiting = false
+	c.fault = NoFault
 	if end >= 0 {
 		lower := bytes.ToLower(c.header[:end+2])
-		c.ambiguous = bytes.Contains(lower, contentLength) && bytes.Contains(lower, transferEncoding)
+		switch {
+		case bytes.Contains(lower, contentLength) && bytes.Contains(lower, transferEncoding):
+			c.fault = TwoLengths
+		case limits.HeaderBytes > 0 && end+len(headerEnd) > limits.HeaderBytes:
+			c.fault = HeaderTooLarge
+		}
 	}
 	c.inHeader, c.header = false, nil
 }
@@ -89,21 +113,36 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Handler answers ambiguous requests with refuse and closes their connection; next serves the others.
-func Handler(next http.Handler, refuse func(w http.ResponseWriter, r *http.Request)) http.Handler {
+// Fault is why a request's header is refused.
+type Fault int
+
+// Faults.
+const (
+	NoFault        Fault = iota
+	TwoLengths           // Content-Length and Transfer-Encoding
+	HeaderTooLarge       // more bytes than Limits.HeaderBytes
+)
+
+// Handler answers requests with a faulty header with refuse and closes their connection; next serves the others.
+func Handler(next http.Handler, refuse func(w http.ResponseWriter, r *http.Request, fault Fault)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		looked, ok := r.Context().Value(connKey{}).(*conn)
-		if !ok || !looked.isAmbiguous() {
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		fault := looked.headerFault()
+		if fault == NoFault {
 			next.ServeHTTP(w, r)
 			return
 		}
 		w.Header().Set("Connection", "close")
-		refuse(w, r)
+		refuse(w, r, fault)
 	})
 }
 
-func (c *conn) isAmbiguous() bool {
+func (c *conn) headerFault() Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ambiguous
+	return c.fault
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -13,17 +13,19 @@
 	"gotest.tools/v3/assert"
 )
 
-func serve(t *testing.T) (addr string, served *int) {
+func serve(t *testing.T, limits Limits) (addr string, served *int) {
 	served = new(int)
 	server := httptest.NewUnstartedServer(Handler(
 		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			*served++
 			_, _ = io.Copy(w, r.Body)
 		}),
-		func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) },
+		func(w http.ResponseWriter, _ *http.Request, fault Fault) {
+			w.WriteHeader(map[Fault]int{TwoLengths: http.StatusBadRequest, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge}[fault])
+		},
 	))
-	server.Listener = Listen(server.Listener)
-	server.Config.ConnContext = ConnContext
+	server.Listener = ListenLimited(server.Listener, func() Limits { return limits })
+	server.Config.ConnContext, server.Config.ConnState = ConnContext, ConnState
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String(), served
@@ -32,7 +34,7 @@
 // Guards against a request with two lengths that is served, and against what follows it being served as another one; also
 // after a proper request on the same connection.
 func TestTwoLengthsAreRefused(t *testing.T) {
-	addr, served := serve(t)
+	addr, served := serve(t, Limits{})
 	conn, err := net.Dial("tcp", addr)
 	assert.NilError(t, err)
 	defer conn.Close()
@@ -61,3 +63,97 @@
 	assert.Assert(t, err != nil, "the connection is closed")
 	assert.Equal(t, *served, 2)
 }
+
+// closed reports the end of a connection that the server closes.
+func closed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err := io.ReadAll(conn)
+	assert.NilError(t, err) // an end, no time-out
+}
+
+// Guards against callers that hold connections and memory: headers beyond the limit, headers that don't end, connections
+// without requests.
+func TestCallerLimits(t *testing.T) {
+	limits := Limits{HeaderBytes: 200, HeaderTime: 300 * time.Millisecond, IdleTime: 300 * time.Millisecond}
+	addr, served := serve(t, limits)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+
+	large := dial()
+	_, err := fmt.Fprintf(large, "GET / HTTP/1.1\r\nHost: x\r\nX: %0200d\r\n\r\n", 0)
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(large), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, *served, 0)
+
+	slow := dial()
+	_, err = fmt.Fprint(slow, "GET / HTTP/1.1\r\nHost: x\r\n")
+	assert.NilError(t, err)
+	closed(t, slow)
+
+	closed(t, dial())
+
+	used := dial()
+	_, err = fmt.Fprint(used, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	closed(t, used) // after the answer
+	assert.Equal(t, *served, 1)
+}
+
+// Guards against the idle time that ends a request whose answer takes longer.
+func TestLongRequestsAreNotIdle(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	}))
+	limits := Limits{HeaderTime: 100 * time.Millisecond, IdleTime: 100 * time.Millisecond}
+	server.Listener = ListenLimited(server.Listener, func() Limits { return limits })
+	server.Config.ConnContext, server.Config.ConnState = ConnContext, ConnState
+	server.Start()
+	defer server.Close()
+	answer, err := http.Get(server.URL)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "whole")
+}
+
+// Guards against the header's limit on a body that goes on after its answer has begun: a target may answer early and read
+// a long upload to its end.
+func TestUploadAfterTheAnswerHasBegun(t *testing.T) {
+	read := make(chan int, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		w.WriteHeader(http.StatusOK)
+		_ = control.Flush()
+		text, _ := io.ReadAll(r.Body)
+		read <- len(text)
+	}))
+	limits := Limits{HeaderBytes: 100, HeaderTime: 100 * time.Millisecond, IdleTime: 100 * time.Millisecond}
+	server.Listener = ListenLimited(server.Listener, func() Limits { return limits })
+	server.Config.ConnContext, server.Config.ConnState = ConnContext, ConnState
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	for range 10 {
+		_, err = fmt.Fprint(conn, "x")
+		assert.NilError(t, err)
+		time.Sleep(30 * time.Millisecond)
+	}
+	assert.Equal(t, <-read, 10)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 		name, addr string
 		handler    http.Handler
 	}{
-		{"entry", n.settings.EntryAddr, framing.Handler(framing.CloseWhile(&n.draining, n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseAmbiguous)},
+		{"entry", n.settings.EntryAddr, framing.Handler(framing.CloseWhile(&n.draining, n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseHeader)},
 		{"peer", n.settings.PeerAddr, n.peerHandler()},
 		{"admin", n.settings.AdminAddr, n.adminHandler()},
 		{"check-in", n.settings.CheckInAddr, n.platform.CheckIns(n.target)},
@@ -166,10 +166,14 @@
 			n.closeServers()
 			return eris.Wrapf(err, "open the %s listener", one.name)
 		}
-		n.servers = append(n.servers, server{one.name, framing.Listen(socket), &http.Server{
-			ConnContext: framing.ConnContext,
-			Handler:     one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
-		}})
+		opened := server{one.name, framing.Listen(socket), &http.Server{
+			ConnContext: framing.ConnContext, ConnState: framing.ConnState,
+			Handler: one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
+		}}
+		if one.name == "entry" {
+			opened.socket = framing.ListenLimited(socket, n.entry.CallerLimits)
+		}
+		n.servers = append(n.servers, opened)
 	}
 	return nil
 }
--- a/internal/servicelist/parse.go
+++ b/internal/servicelist/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/tomlcheck"
@@ -35,10 +36,14 @@
 	MaxQueue         = 100000
 	MaxBudgetPercent = 10
 	MaxHedgePercent  = 5
+	// MaxCallerHeaderBytes is what the listener takes at most, and MaxCallerBodyBytes keeps a mistyped limit from being none.
+	MaxCallerHeaderBytes = 1 << 20
+	MaxCallerBodyBytes   = 1 << 40
 )
 
 // listText is the TOML form of a list. Pointers tell an absent key from a zero value.
 type listText struct {
+	Callers   callersText             `toml:"callers"`
 	Measuring measuringText           `toml:"measuring"`
 	Services  map[string]*serviceText `toml:"services"`
 	Rules     []ruleText              `toml:"rules"`
@@ -53,12 +58,20 @@
 	DependsOn    []string    `toml:"depends_on"`
 	HomeRegion   *string     `toml:"home_region"`
 	Timeout      *string     `toml:"timeout"`
+	HealthPath   string      `toml:"health_path"`
 	ResendWindow *string     `toml:"resend_window"`
 	Idempotent   []routeText `toml:"idempotent"`
 	Limits       limitsText  `toml:"limits"`
 	Retry        retryText   `toml:"retry"`
 }
 
+type callersText struct {
+	MaxBodyBytes   int64   `toml:"max_body_bytes"`
+	MaxHeaderBytes int     `toml:"max_header_bytes"`
+	HeaderTimeout  *string `toml:"header_timeout"`
+	IdleTimeout    *string `toml:"idle_timeout"`
+}
+
 type routeText struct {
 	Method     string `toml:"method"`
 	PathPrefix string `toml:"path_prefix"`
@@ -109,6 +122,7 @@
 	for _, name := range sortedNames(decoded.Services) {
 		list.Services[name] = service(document, name, decoded.Services[name])
 	}
+	list.CallerLimits = callers(document, decoded.Callers)
 	list.Rules = rules(document, list, decoded.Rules)
 	checkWhole(document, list)
 	if problems := document.Problems(); len(problems) > 0 {
@@ -136,10 +150,23 @@
 	return budget
 }
 
+func callers(document *tomlcheck.Document, text callersText) CallerLimits {
+	key := func(name string) tomlcheck.Key { return tomlcheck.Key{"callers", name} }
+	limits := CallerLimits{MaxBodyBytes: text.MaxBodyBytes, MaxHeaderBytes: text.MaxHeaderBytes}
+	document.CheckRange(key("max_body_bytes"), int(limits.MaxBodyBytes), 0, MaxCallerBodyBytes)
+	document.CheckRange(key("max_header_bytes"), limits.MaxHeaderBytes, 0, MaxCallerHeaderBytes)
+	limits.HeaderTimeout = document.Duration(key("header_timeout"), text.HeaderTimeout, 0, MinTimeout, MaxTimeout)
+	limits.IdleTimeout = document.Duration(key("idle_timeout"), text.IdleTimeout, 0, MinTimeout, MaxTimeout)
+	return limits
+}
+
 func service(document *tomlcheck.Document, name string, text *serviceText) *Service {
 	key := func(parts ...string) tomlcheck.Key { return append(tomlcheck.Key{"services", name}, parts...) }
 	document.CheckLabel(key(), name)
-	result := &Service{Name: name, DependsOn: text.DependsOn, HomeRegion: valueOr(text.HomeRegion, "")}
+	result := &Service{Name: name, DependsOn: text.DependsOn, HomeRegion: valueOr(text.HomeRegion, ""), HealthPath: text.HealthPath}
+	if text.HealthPath != "" && !strings.HasPrefix(text.HealthPath, "/") {
+		document.Add(tomlcheck.BadRoute, key("health_path"), "%q does not start with \"/\"", text.HealthPath)
+	}
 	if text.HomeRegion != nil {
 		document.CheckLabel(key("home_region"), result.HomeRegion)
 	}
--- a/internal/servicelist/parse_test.go
+++ b/internal/servicelist/parse_test.go
@@ -25,6 +25,23 @@
 	})
 }
 
+// Guards against limits of callers and health paths that are lost.
+func TestCallersAndHealthPath(t *testing.T) {
+	list, err := Parse([]byte(`[callers]
+max_body_bytes = 1000
+max_header_bytes = 2000
+header_timeout = "3s"
+idle_timeout = "15s"
+[services.a]
+health_path = "/health"
+`))
+	assert.NilError(t, err)
+	assert.Equal(t, list.CallerLimits, CallerLimits{
+		MaxBodyBytes: 1000, MaxHeaderBytes: 2000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+	})
+	assert.Equal(t, list.Services["a"].HealthPath, "/health")
+}
+
 // Guards against a rule that is not enforced, is reported at the wrong place or without its kind. Each text has exactly
 // one fault.
 func TestRules(t *testing.T) {
@@ -45,6 +62,10 @@
 		{"[services.a]\nTimeout = '1s'\n", 2, tomlcheck.UnknownKey, "services.a.Timeout"},
 		{"[services.a]\ntimeout = 10\n", 2, tomlcheck.WrongType, "services.a.timeout"},
 		{"[services.a]\nlimits.slots = 99999999999999999999\n", 2, tomlcheck.OutOfRange, "services.a.limits.slots"},
+		{"[callers]\nmax_body_bytes = -1\n[services.a]\n", 2, tomlcheck.OutOfRange, "callers.max_body_bytes"},
+		{"[callers]\nmax_header_bytes = 2000000\n[services.a]\n", 2, tomlcheck.OutOfRange, "callers.max_header_bytes"},
+		{"[callers]\nidle_timeout = '15'\n[services.a]\n", 2, tomlcheck.BadDuration, "callers.idle_timeout"},
+		{"[services.a]\nhealth_path = 'health'\n", 2, tomlcheck.BadRoute, "services.a.health_path"},
 		{"[services.a]\ntimeout = '10'\n", 2, tomlcheck.BadDuration, "services.a.timeout"},
 		{"[services.a]\ntimeout = '0s'\n", 2, tomlcheck.OutOfRange, "services.a.timeout"},
 		{"[services.a]\nresend_window = '999ms'\n", 2, tomlcheck.OutOfRange, "services.a.resend_window"},
--- a/internal/servicelist/rules.go
+++ b/internal/servicelist/rules.go
@@ -47,7 +47,10 @@
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
-	MaxBodyBytes int64 // 0: no limit
+	MaxBodyBytes   int64         // of a request's body; 0: no limit
+	MaxHeaderBytes int           // of a request's header; 0: the default of the listener, 1 MiB
+	HeaderTimeout  time.Duration // for a header to arrive; 0: the default of the listener
+	IdleTimeout    time.Duration // of a connection without a request; 0: the default of the listener
 }
 
 // RuleSet finds the rule of a request. The zero value holds no rules.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,7 @@
 
 	EntryAddr string // IP:port for callers and for the local target's outgoing calls
 	PeerAddr  string // IP:port for other nodes
-	// PeerAdvertiseAddr is the IP:port by which other nodes reach PeerAddr; PeerAddr by default. PlatformRows only.
+	// PeerAdvertiseAddr is the IP:port by which other nodes reach PeerAddr; empty: PeerAddr. PlatformRows only.
 	PeerAdvertiseAddr string
 	AdminAddr         string // IP:port for metrics, health and status
 	TargetAddr        string // IP:port of the local target
@@ -212,9 +212,7 @@
 	if !(loaded.LinkMbps >= 0) {
 		document.Add(tomlcheck.OutOfRange, tomlcheck.Key{"link_mbps"}, "%v is not a bandwidth", loaded.LinkMbps)
 	}
-	if loaded.PeerAdvertiseAddr == "" {
-		loaded.PeerAdvertiseAddr = loaded.PeerAddr
-	} else {
+	if loaded.PeerAdvertiseAddr != "" {
 		document.CheckAddress(tomlcheck.Key{"peer_advertise_addr"}, loaded.PeerAdvertiseAddr, true)
 	}
 	document.CheckRange(tomlcheck.Key{"retry_slack"}, loaded.RetrySlack, 0, maxRetrySlack)
