Restarted nodes serve at once; refusals tell the id that a node has now

Ruled out: the list and the members (read 0.1 s after the start), the workers (they were not killed).

Change: a node that starts serves the target of its own row if that neither drains nor left; each request names the target, and one that has replaced it refuses and ends this until its check-in. A refusal for an earlier id tells the present one, which the entry node uses at once until the row comes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,16 +30,16 @@
 	Now time.Time
 }
 
-// allows reports whether the request permits the member at all.
-func (r Request) allows(member *cluster.Member) bool {
-	if member.Draining || (r.Avoid != "" && member.ID == r.Avoid) {
+// allows reports whether the request permits the member, which now has that id, at all.
+func (r Request) allows(member *cluster.Member, id string) bool {
+	if member.Draining || (r.Avoid != "" && id == r.Avoid) {
 		return false
 	}
 	if r.Region != "" && member.Region != r.Region {
 		return false
 	}
-	for _, id := range r.Exclude {
-		if id == member.ID {
+	for _, excluded := range r.Exclude {
+		if excluded == id {
 			return false
 		}
 	}
@@ -80,6 +80,9 @@
 type Result struct {
 	Class  Class
 	Reason failure.Reason // of a refusal or failure
+	// Current is the id that the member's node has since it restarted, when the refusal tells it. Later picks use it until
+	// Update brings the new member.
+	Current string
 	// Sample is the load sample in the answer's header, or nil.
 	Sample *wire.LoadSample
 	// SampleAt is when the header arrived; the zero value means now.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -9,7 +9,7 @@
 	healthy := p.healthy[:0]
 	stay := p.config.StayInRegion && p.regionAnswers(now)
 	for _, candidate := range p.peers {
-		if !request.allows(&candidate.member) || candidate.draining || stay && candidate.distance == otherRegion {
+		if !request.allows(&candidate.member, candidate.id()) || candidate.draining || stay && candidate.distance == otherRegion {
 			continue
 		}
 		allowed = append(allowed, candidate)
--- a/internal/balance/counted.go
+++ b/internal/balance/counted.go
@@ -59,7 +59,7 @@
 	members := s.members()
 	allowed := make([]counted, 0, len(members))
 	for i := range members {
-		if request.allows(&members[i].member) {
+		if request.allows(&members[i].member, members[i].member.ID) {
 			allowed = append(allowed, members[i])
 		}
 	}
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -10,6 +10,7 @@
 // peer is what a pool knows about one member. The pool's lock guards all fields.
 type peer struct {
 	member   cluster.Member
+	current  string // id since the member's node restarted; empty: that of member
 	distance distance
 	inFlight int       // attempts of this node; the length of attempts
 	attempts []attempt // oldest first
@@ -43,6 +44,14 @@
 	maxSampleAge = time.Second
 )
 
+// id is the id by which the member's node knows itself.
+func (p *peer) id() string {
+	if p.current != "" {
+		return p.current
+	}
+	return p.member.ID
+}
+
 // gone reports whether the member drains.
 func (p *peer) gone() bool { return p.draining || p.member.Draining }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -98,6 +98,7 @@
 	trial := false
 	if chosen != nil {
 		member = chosen.member
+		member.ID = chosen.id()
 		trial = chosen.sent(now, expect)
 		p.creditStarts(chosen, now)
 	}
@@ -149,6 +150,10 @@
 		of.health.answered(p.serviceTime(of, result))
 		p.review(of, now)
 	case Refused:
+		if result.Current != "" {
+			of.current = result.Current
+			return
+		}
 		of.refused(result.Reason, now)
 	case Failed:
 		of.failedUntil = now.Add(failureAvoidance)
@@ -179,7 +184,7 @@
 	switch reason {
 	case failure.Draining:
 		p.draining = true
-	case failure.WrongIncarnation, failure.WrongService:
+	case failure.WrongIncarnation, failure.WrongService, failure.WrongTarget:
 		p.failedUntil = now.Add(goneAvoidance)
 	case failure.TargetUnreachable, failure.ConnectionLimit:
 		p.failedUntil = now.Add(failureAvoidance)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -47,6 +47,7 @@
 	kept     *rpc.Answer
 	failed   *failure.Error
 	member   string // id of the member that the attempt was sent to
+	current  string // id that the member's node has since it restarted; empty: not told
 	sample   *wire.LoadSample
 	latency  time.Duration // to the first byte
 }
@@ -169,6 +170,9 @@
 	ended.response = nil
 	ended.failed = failure.New(failure.Reason(reason), outcome, "refused by node %s", a.member.ID)
 	ended.failed.RetryAfter = retryAfter(response.Header)
+	if ended.failed.Reason == failure.WrongIncarnation {
+		ended.current = response.Header.Get(wire.CurrentMember)
+	}
 	return ended
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -153,7 +153,7 @@
 	if ended.response != nil {
 		h.config.Metrics.Observe("latency.entry."+c.service.Name+".us", ended.latency)
 	}
-	report := balance.Result{Sample: ended.sample, Latency: ended.latency}
+	report := balance.Result{Sample: ended.sample, Latency: ended.latency, Current: ended.current}
 	if ended.failed != nil {
 		h.logAttempt(c, pick, ended.failed)
 		report.Class, report.Reason = classify(ended.failed), ended.failed.Reason
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -154,10 +154,11 @@
 	return true
 }
 
-// forgetSilent lets a member be picked again after a silent connection: the next send uses a new one. Else a stall of
-// the connections to all targets would leave none to choose.
+// forgetSilent lets a member be picked again after a silent connection, as the next send uses a new one, and after its node
+// told the id that it has since a restart. Else a stall of the connections to all targets, or a restart of all nodes, would
+// leave none to choose.
 func (c *call) forgetSilent(ended result) {
-	if ended.failed.Reason == failure.ConnectionSilent {
+	if ended.failed.Reason == failure.ConnectionSilent || ended.current != "" {
 		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == ended.member })
 	}
 }
@@ -169,7 +170,7 @@
 	switch failed.Reason {
 	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget:
 		return true
-	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.TargetUnreachable:
+	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.WrongTarget, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
 	default:
 		return false
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -40,7 +40,8 @@
 	TargetBroke         Reason = "target-connection-broke"
 	TargetShed          Reason = "target-shed"
 	NoLocalTarget       Reason = "no-local-target"
-	TargetSlow          Reason = "target-slow" // other targets are worth a try
+	WrongTarget         Reason = "wrong-target" // another target has the address
+	TargetSlow          Reason = "target-slow"  // other targets are worth a try
 
 	// Calls with an Idempotency-Key.
 	BadKey             Reason = "bad-idempotency-key"
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -194,6 +194,9 @@
 	}
 	if failed.Outcome == failure.NotRun {
 		e.attempt.Refuse()
+		if failed.Reason == failure.WrongTarget && e.handler.config.OnWrongTarget != nil {
+			e.handler.config.OnWrongTarget()
+		}
 		return failed
 	}
 	e.attempt.Broken()
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -50,6 +50,8 @@
 	// OnFullSpeed is called when the number of requests at once up to which the target does not slow down is found; nil:
 	// it is not shared.
 	OnFullSpeed func(requests int)
+	// OnWrongTarget is called when another target answered in place of the one of the handler; nil: nothing is.
+	OnWrongTarget func()
 	// Cold is how much longer the target is slow after its start.
 	Cold time.Duration
 	// ReadAhead is the size up to which an answer is read whole before its header is passed on, so that a broken answer is
@@ -212,6 +214,9 @@
 	h.config.Metrics.Refused(role, failed.Reason)
 	h.logRefusal(r, failed)
 	h.addSample(w.Header(), r)
+	if failed.Reason == failure.WrongIncarnation {
+		w.Header().Set(wire.CurrentMember, h.config.Self.ID)
+	}
 	WriteRefusal(w, failed)
 }
 
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -16,7 +16,7 @@
 }
 
 // innerAnswer headers are set by nodes only: with them a target could claim that a request was not run.
-var innerAnswer = []string{wire.RetryAfterMS, wire.Load, wire.Reason, wire.Outcome, wire.TargetDraining}
+var innerAnswer = []string{wire.RetryAfterMS, wire.Load, wire.Reason, wire.Outcome, wire.TargetDraining, wire.CurrentMember}
 
 // targetHeader returns the header for the target.
 func targetHeader(received http.Header, deadline, notAfter time.Time) http.Header {
--- a/internal/membership/row.go
+++ b/internal/membership/row.go
@@ -25,6 +25,7 @@
 	ID       string `json:"id"`
 	Born     int64  `json:"born"`     // start, Unix milliseconds of the target's clock
 	Sequence uint64 `json:"sequence"` // of the last check-in that the node acted on
+	Slots    int    `json:"slots,omitempty"`
 }
 
 func encodeRow(row Row) []byte {
--- a/internal/node/checkin.go
+++ b/internal/node/checkin.go
@@ -51,6 +51,7 @@
 	id       string
 	born     int64
 	sequence uint64
+	slots    int
 	draining bool
 	gone     bool
 
@@ -115,7 +116,8 @@
 		retired = append(retired, bootName{s.id, s.born})
 	}
 	*s = targetState{
-		id: announced.TargetID, born: announced.Born, sequence: announced.Sequence, draining: announced.Draining, heard: now,
+		id: announced.TargetID, born: announced.Born, sequence: announced.Sequence, slots: announced.Slots,
+		draining: announced.Draining, heard: now,
 		retired: retired[max(0, len(retired)-maxRetired):],
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,17 +136,18 @@
 
 func (n *Node) newHandler(member cluster.Member, announced *CheckIn) *inbound.Handler {
 	return inbound.New(inbound.Config{
-		Self:        member,
-		View:        n.view,
-		TargetAddr:  n.settings.TargetAddr,
-		Metrics:     n.metrics,
-		Peers:       quarantine.NewPeers(n.view, n.peers.Kept),
-		Protocol:    n.platform.Target(announced.TargetID),
-		RequestID:   n.platform.RequestID(),
-		Slots:       announced.Slots,
-		OnFullSpeed: n.target.foundFullSpeed,
-		Cold:        announced.Cold,
-		ReadAhead:   readAheadBytes,
+		Self:          member,
+		View:          n.view,
+		TargetAddr:    n.settings.TargetAddr,
+		Metrics:       n.metrics,
+		Peers:         quarantine.NewPeers(n.view, n.peers.Kept),
+		Protocol:      n.platform.Target(announced.TargetID),
+		RequestID:     n.platform.RequestID(),
+		Slots:         announced.Slots,
+		OnFullSpeed:   n.target.foundFullSpeed,
+		OnWrongTarget: func() { n.target.wrongTarget(announced.TargetID) },
+		Cold:          announced.Cold,
+		ReadAhead:     readAheadBytes,
 	})
 }
 
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -42,6 +42,8 @@
 type boot struct {
 	member  cluster.Member
 	handler *inbound.Handler
+	// resumed tells that the boot is known from the row of an earlier process only. The mutex of localTarget guards it.
+	resumed bool
 }
 
 // CheckIn implements Registrar.
@@ -90,6 +92,7 @@
 			id:       earlier.Target.ID,
 			born:     earlier.Target.Born,
 			sequence: earlier.Target.Sequence,
+			slots:    earlier.Target.Slots,
 			draining: earlier.Member.Draining,
 			gone:     earlier.Gone,
 			heard:    time.Now(),
@@ -100,12 +103,42 @@
 	if t.pending != nil {
 		t.apply(t.pending)
 		t.pending = nil
+		return
+	}
+	t.resume(earlier)
+}
+
+// resume serves the target that an earlier process of this node served, which goes on while the node restarts. Waiting for
+// its next check-in, up to 1.5 s, left all requests without a target after many nodes were killed at once. Each request
+// names the target, so that one which has replaced it refuses. The mutex is held.
+func (t *localTarget) resume(earlier membership.Row) {
+	if t.state.id == "" || t.state.gone || t.state.slots == 0 || earlier.Member.Service != t.node.settings.Service {
+		return
+	}
+	t.start(&CheckIn{TargetID: t.state.id, Born: t.state.born, Slots: t.state.slots})
+	t.current.Load().resumed = true
+	t.announce()
+}
+
+// wrongTarget ends the use of a resumed boot: another one answered in its place. The next check-in tells which.
+func (t *localTarget) wrongTarget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	served := t.current.Load()
+	if served == nil || !served.resumed || t.state.id != id {
+		return
 	}
+	klog.InfoS("resumed target is gone", "target", id)
+	served.handler.BeginDrain()
+	t.current.Store(nil)
 }
 
 // apply acts on a check-in. The mutex is held.
 func (t *localTarget) apply(announced *CheckIn) {
 	changed := t.state.apply(announced, time.Now())
+	if served := t.current.Load(); served != nil && changed != changeBoot && announced.TargetID == t.state.id {
+		served.resumed = false
+	}
 	unserved := t.current.Load() == nil && !t.state.gone && t.state.id == announced.TargetID
 	switch {
 	case changed == changeBoot || unserved:
@@ -166,7 +199,7 @@
 	member.FullSpeed = t.fullSpeed
 	t.node.directory.Announce(membership.Row{
 		Member: member,
-		Target: membership.TargetBoot{ID: t.state.id, Born: t.state.born, Sequence: t.state.sequence},
+		Target: membership.TargetBoot{ID: t.state.id, Born: t.state.born, Sequence: t.state.sequence, Slots: t.state.slots},
 		Gone:   t.state.gone,
 	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -36,6 +36,9 @@
 	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
+// CurrentMember is the id of the member that a node serves now; on its refusals of attempts for an earlier one.
+const CurrentMember = "Acacialock-Current-Member"
+
 // RetryAfterMS is the time in milliseconds after which a refused request may succeed; on refusals between nodes.
 const RetryAfterMS = "Acacialock-Retry-After-Ms"
 
