Resume a target only when its health path says that it serves

Cause, found by reading: a drain is acknowledged before its row is stored. A process that was killed in between left a row that does not show the drain, and the next process would have resumed the target: new work after an acknowledged drain. (Before targets were resumed, the next check-in told.)

Change: the acknowledgement of a drain waits up to 300 ms for its row, and a start asks the health path first, which names the worker and answers 503 while it leaves.

TestLostStoreIsAskedOnce waited for a read of 20 s; it ends that read now.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -69,6 +69,7 @@
 	wanted  atomic.Pointer[Row]
 	stored  atomic.Bool // the wanted row is in the store
 	loaded  chan struct{}
+	listed  chan struct{}
 	initial Row // own row as an earlier process left it; valid once loaded is closed
 
 	// State of the Run goroutine.
@@ -110,6 +111,7 @@
 		reparse: make(chan struct{}, 1),
 		own:     make(chan struct{}, 1),
 		loaded:  make(chan struct{}),
+		listed:  make(chan struct{}),
 		rows:    map[string]memberRow{},
 
 		avoidUntil: map[string]time.Time{},
@@ -129,6 +131,9 @@
 // Loaded is closed once the members were read from the store; OwnRow is valid from then on.
 func (d *Directory) Loaded() <-chan struct{} { return d.loaded }
 
+// Listed is closed once a service list is in force.
+func (d *Directory) Listed() <-chan struct{} { return d.listed }
+
 // OwnRow returns the row that an earlier process of this node left; its target id is empty when there was none.
 func (d *Directory) OwnRow() Row { return d.initial }
 
@@ -297,6 +302,7 @@
 
 // publish gives traffic a new snapshot.
 func (d *Directory) publish() {
+	defer d.tellListed()
 	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.current, Members: map[string][]cluster.Member{}}
 	add := func(row Row) {
 		if row.Gone || row.Member.ID == "" {
@@ -323,6 +329,17 @@
 	d.config.View.Publish(snapshot)
 }
 
+// tellListed closes listed after the first snapshot with a list.
+func (d *Directory) tellListed() {
+	select {
+	case <-d.listed:
+	default:
+		if d.current != nil {
+			close(d.listed)
+		}
+	}
+}
+
 // latestByAddr drops the rows of nodes whose address another node has taken since. Nobody removes the row of a machine that
 // was lost, and its address may be given to a machine of another service. The own address is this node's.
 func latestByAddr(rows map[string]memberRow, own string) []Row {
--- a/internal/membership/relay_test.go
+++ b/internal/membership/relay_test.go
@@ -223,6 +223,9 @@
 	nodes := newZone(t, feed, "a")
 	eventually(t, "the own row is stored", nodes[0].directory.Announced)
 	nodes[0].feed.cut.Store(true)
+	feed.mu.Lock()
+	feed.put(MembersTable, platform.FeedRow{Key: "other", Value: encodeRow(Row{})}) // ends the read of the members
+	feed.mu.Unlock()
 	eventually(t, "the store is lost", func() bool { return nodes[0].directory.StoreLost() && nodes[0].directory.members.lost.Load() })
 	before := nodes[0].feed.members.Load()
 	time.Sleep(time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,8 @@
 	RequestID() string
 	// Target returns the protocol of the target with that id.
 	Target(id string) inbound.TargetProtocol
+	// Serves reports whether an answer of a target's health path says that the target with that id goes on to serve.
+	Serves(answer *http.Response, targetID string) bool
 	// CheckIns serves the announcements of the local target.
 	CheckIns(to Registrar) http.Handler
 	// ReadyPath is the path on the admin listener that tells whether callers may be sent to the node.
@@ -267,7 +269,14 @@
 func (n *Node) loadTarget(ctx context.Context) {
 	select {
 	case <-n.directory.Loaded():
-		n.target.load(n.directory.OwnRow())
+	case <-ctx.Done():
+		return
+	}
+	earlier := n.directory.OwnRow()
+	n.target.load(earlier)
+	select {
+	case <-n.directory.Listed():
+		n.target.resume(ctx, earlier)
 	case <-ctx.Done():
 	}
 }
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -55,20 +55,43 @@
 	if announced.Addr != set.TargetAddr {
 		return &CheckInError{Field: "address", Value: announced.Addr, Want: set.TargetAddr}
 	}
+	if t.take(&announced) {
+		t.awaitStored()
+	}
+	return nil
+}
+
+// awaitStored waits until the row that says of a drain is stored, for a short time at most.
+func (t *localTarget) awaitStored() {
+	for end := time.Now().Add(drainStored); !t.node.directory.Announced() && time.Now().Before(end); {
+		time.Sleep(drainStored / 100)
+	}
+}
+
+// take applies a check-in and reports whether it began a drain.
+func (t *localTarget) take(announced *CheckIn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.loaded {
 		if t.pending == nil || announced.Born > t.pending.Born || announced.Sequence > t.pending.Sequence {
-			t.pending = &announced
+			t.pending = announced
 		}
-		return nil
+		return false
 	}
-	t.apply(&announced)
-	return nil
+	drained := t.state.draining
+	t.apply(announced)
+	return t.state.draining && !drained
 }
 
 // Leave implements Registrar.
 func (t *localTarget) Leave(id string, born int64) {
+	if t.takeLeave(id, born) {
+		t.awaitStored()
+	}
+}
+
+// takeLeave applies a departure and reports whether it concerns the known boot.
+func (t *localTarget) takeLeave(id string, born int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending != nil && t.pending.TargetID == id {
@@ -76,11 +99,12 @@
 	}
 	if !t.state.leave(id, born, time.Now()) {
 		klog.InfoS("departure of an unknown target", "target", id, "born", born, "known", t.state.id)
-		return
+		return false
 	}
 	klog.InfoS("target left", "target", id, "born", t.state.born)
 	t.drain()
 	t.announce()
+	return true
 }
 
 // load starts the use of check-ins, with what an earlier process of this node knew.
@@ -103,23 +127,63 @@
 	if t.pending != nil {
 		t.apply(t.pending)
 		t.pending = nil
-		return
 	}
-	t.resume(earlier)
 }
 
+const (
+	// resumeTimeout bounds the question to the target's health path after a start.
+	resumeTimeout = 200 * time.Millisecond
+	// drainStored is the longest time for which the acknowledgement of a drain waits for the row. With the row, a process that
+	// is started after a kill knows the drain; a store that answers does so within 20 ms.
+	drainStored = 300 * time.Millisecond
+)
+
 // resume serves the target that an earlier process of this node served, which goes on while the node restarts. Waiting for
-// its next check-in, up to 1.5 s, left all requests without a target after many nodes were killed at once. Each request
-// names the target, so that one which has replaced it refuses. The mutex is held.
-func (t *localTarget) resume(earlier membership.Row) {
-	if t.state.id == "" || t.state.gone || t.state.slots == 0 || earlier.Member.Service != t.node.settings.Service {
+// its next check-in, up to 1.5 s, left all requests without a target after many nodes were killed at once. The earlier
+// process may have acknowledged a drain that its row does not show, so the target's health path must say that it serves.
+// Each request names the target, so that one which has replaced it refuses.
+func (t *localTarget) resume(ctx context.Context, earlier membership.Row) {
+	if earlier.Target.ID == "" || earlier.Gone || earlier.Member.Draining || earlier.Target.Slots == 0 ||
+		earlier.Member.Service != t.node.settings.Service || !t.serves(ctx, earlier.Target.ID) {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current.Load() != nil || t.state.id != earlier.Target.ID || t.state.born != earlier.Target.Born || t.state.draining {
+		return // a check-in came first
+	}
 	t.start(&CheckIn{TargetID: t.state.id, Born: t.state.born, Slots: t.state.slots})
 	t.current.Load().resumed = true
 	t.announce()
 }
 
+// serves asks the target whether it is that one and goes on to serve.
+func (t *localTarget) serves(ctx context.Context, id string) bool {
+	service := t.node.view.Load().Service(t.node.settings.Service)
+	if service == nil || service.HealthPath == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.node.settings.TargetAddr+service.HealthPath, nil)
+	if err != nil {
+		klog.InfoS("target not resumed", "target", id, "err", err.Error())
+		return false
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	answer, err := transport.RoundTrip(request)
+	if err != nil {
+		klog.InfoS("target not resumed", "target", id, "err", err.Error())
+		return false
+	}
+	_ = answer.Body.Close() // the header says it all
+	if !t.node.platform.Serves(answer, id) {
+		klog.InfoS("target not resumed", "target", id, "status", answer.StatusCode)
+		return false
+	}
+	return true
+}
+
 // wrongTarget ends the use of a resumed boot: another one answered in its place. The next check-in tells which.
 func (t *localTarget) wrongTarget(id string) {
 	t.mu.Lock()
