Members that a connection failed to get no requests until a check reaches them

Three of ten machines did not come back after a loss of power, and nobody removes their rows.

Ruled out: the ejection of bad members (a trial is a request too, and a third of the members at most is ejected); silent connections (none were kept).

Change: after a failed connection, or a failure that may be one, the node tries to connect on its own, after 0.2 to 2 s, and sends requests only when that succeeded; a connection may take 250 ms. Lost members are used when no other is left.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // choose returns the member for the request, or nil, and the time in seconds that its answer is expected to take.
 func (p *Pool) choose(request *Request, now time.Time) (*peer, float64) {
@@ -8,8 +11,14 @@
 	allowed := p.allowed[:0]
 	healthy := p.healthy[:0]
 	stay := p.config.StayInRegion && p.regionAnswers(now)
+	usable := func(candidate *peer) bool {
+		return request.allows(&candidate.member, candidate.id()) && !candidate.draining &&
+			(!stay || candidate.distance != otherRegion)
+	}
+	reachable := slices.ContainsFunc(p.peers, func(candidate *peer) bool { return usable(candidate) && !candidate.reach.lost })
 	for _, candidate := range p.peers {
-		if !request.allows(&candidate.member, candidate.id()) || candidate.draining || stay && candidate.distance == otherRegion {
+		// Lost members are tried only when no other is left: a check may be wrong.
+		if !usable(candidate) || reachable && candidate.reach.lost {
 			continue
 		}
 		allowed = append(allowed, candidate)
@@ -34,7 +43,7 @@
 // regionAnswers reports whether a member of the own region looks alive, be it full or already tried for the call.
 func (p *Pool) regionAnswers(now time.Time) bool {
 	for _, candidate := range p.peers {
-		if candidate.distance != otherRegion && !candidate.gone() && !now.Before(candidate.failedUntil) {
+		if candidate.distance != otherRegion && !candidate.gone() && !candidate.reach.lost && !now.Before(candidate.failedUntil) {
 			return true
 		}
 	}
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -24,6 +24,9 @@
 	Queue int
 	// Probe is called on goroutines of its own; nil turns probes off.
 	Probe ProbeFunc
+	// Reach tries to connect to a member's node and reports whether that succeeded. It must return when ctx ends, and is
+	// called on goroutines of its own for members that a connection failed to; nil: such members are tried with requests.
+	Reach func(ctx context.Context, member cluster.Member) bool
 	// Bytes is charged for probes before they are sent; nil means no limit.
 	Bytes *budget.Bytes
 	// LinkRoom reports whether the paid link has capacity for more calls; nil means that it always has.
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -19,6 +19,7 @@
 	sample   sample
 	health   health
 	ejection ejection
+	reach    reach
 	start    slowStart
 
 	refusedUntil time.Time // avoided after a refusal for lack of room
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -103,6 +103,7 @@
 		p.creditStarts(chosen, now)
 	}
 	target := p.nextProbe(now)
+	p.startChecks(now)
 	p.mu.Unlock()
 	p.startProbe(target)
 	if chosen == nil {
@@ -146,6 +147,7 @@
 	}
 	switch result.Class {
 	case OK:
+		of.reach = reach{checking: of.reach.checking}
 		of.refusedUntil, of.failedUntil = time.Time{}, time.Time{}
 		of.health.answered(p.serviceTime(of, result))
 		p.review(of, now)
@@ -156,6 +158,9 @@
 		}
 		of.refused(result.Reason, now)
 	case Failed:
+		if p.config.Reach != nil {
+			of.reach.failed(result.Reason, now)
+		}
 		of.failedUntil = now.Add(failureAvoidance)
 		of.health.failed()
 		p.review(of, now)
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
@@ -17,6 +18,8 @@
 	Self cluster.Member
 	// Probe asks a node for its load; see balance.Config.
 	Probe balance.ProbeFunc
+	// Reach tries to connect to a node; see balance.Config.
+	Reach func(ctx context.Context, member cluster.Member) bool
 	// Bytes is the node's budget of measuring and control bytes.
 	Bytes *budget.Bytes
 	// Transport drops its connections to nodes that left.
@@ -118,6 +121,7 @@
 		Self:         p.config.Self,
 		Slots:        service.Limits.Slots,
 		Probe:        p.config.Probe,
+		Reach:        p.config.Reach,
 		Bytes:        p.config.Bytes,
 		Metrics:      p.config.Metrics,
 		StayInRegion: p.config.StayInRegion,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,7 +16,7 @@
 
 // Defaults of Config.
 const (
-	DefaultDialTimeout  = 500 * time.Millisecond
+	DefaultDialTimeout  = 250 * time.Millisecond // four round trips between regions
 	DefaultIdleTimeout  = 90 * time.Second
 	DefaultIdlePerNode  = 64
 	DefaultUserTimeout  = 5 * time.Second
@@ -27,7 +27,7 @@
 type Config struct {
 	// Dial opens a connection; nil uses net.Dialer with DialTimeout and TCP_USER_TIMEOUT.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	// DialTimeout bounds the opening of a connection; default 500 ms.
+	// DialTimeout bounds the opening of a connection; default 250 ms.
 	DialTimeout time.Duration
 	// IdleTimeout closes connections that carried nothing for that long; default 90 s.
 	IdleTimeout time.Duration
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,7 @@
 	n.policies = entry.NewPolicies(entry.PoliciesConfig{
 		Self:      n.self,
 		Bytes:     budget.NewBytes(budget.Limits{}, nil),
+		Reach:     n.peers.Reach,
 		Transport: n.transport,
 		Metrics:   n.metrics,
 
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -26,6 +26,7 @@
 	// Kept keeps connections.
 	Kept  *http.Client
 	fresh *http.Client // opens a connection for each call
+	dial  DialFunc
 }
 
 // New returns clients that open connections with dial, or with a net.Dialer when it is nil. wrap may put a round tripper
@@ -44,6 +45,7 @@
 		kept = wrap(kept)
 	}
 	return &Clients{
+		dial: dial,
 		Kept: &http.Client{Transport: kept},
 		fresh: &http.Client{Transport: &http.Transport{
 			DialContext:        dial,
@@ -70,6 +72,16 @@
 	return rpc.NewAttemptsProtobufClient(baseURL(addr), p.fresh)
 }
 
+// Reach reports whether a node accepts a new connection.
+func (p *Clients) Reach(ctx context.Context, member cluster.Member) bool {
+	conn, err := p.dial(ctx, "tcp", member.PeerAddr)
+	if err != nil {
+		return false // the caller counts it
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
 // Probe asks a node for its load.
 func (p *Clients) Probe(ctx context.Context, member cluster.Member) (wire.LoadSample, error) {
 	client := rpc.NewLoadProtobufClient(baseURL(member.PeerAddr), p.Kept)
