--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -175,7 +175,7 @@
 	return wait
 }
 
-// behind reports whether a follower knows more than this node, and ready whether this node reads the store.
+// state reports whether this node reads the store now, and whether a follower that knows these versions knows more.
 func (r *relay) state(haveMembers, haveList uint64) (ready, behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
