--- a/soak/main.go
+++ b/soak/main.go
@@ -61,7 +61,7 @@
 			return failed, err
 		}
 		violations, err := runSoak(config{
-			seed: seed, faults: args.Faults, nodes: args.Nodes, callers: args.Callers, gap: args.Gap,
+			seed: seed, faults: args.Faults, nodes: args.Nodes, callers: args.Callers, gap: args.Gap, recovery: statedRecovery,
 			dir: seedDir, program: program, out: &log,
 		})
 		if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,9 +20,11 @@
 	nodes   int
 	callers int
 	gap     time.Duration // mean time between two faults
-	dir     string        // of settings and logs
-	program string        // acacialockd
-	out     io.Writer
+	// recovery is the time after the last fault within which the service must be back.
+	recovery time.Duration
+	dir      string // of settings and logs
+	program  string // acacialockd
+	out      io.Writer
 }
 
 const (
@@ -30,8 +32,8 @@
 	calmBefore = 2 * time.Second
 	// readyWithin bounds the start of all nodes on a busy machine.
 	readyWithin = 30 * time.Second
-	// recovery is the time after the last fault within which the service must be back.
-	recovery = 15 * time.Second
+	// statedRecovery is the time that the users allow.
+	statedRecovery = 15 * time.Second
 	// servedAgain is the share of the requests that must be served then.
 	servedAgain = 0.95
 	// watchEvery is the time between two questions to a node about its list.
@@ -142,7 +144,7 @@
 // awaitService waits until nearly all requests are served again.
 func (s *soak) awaitService() {
 	healed := time.Now()
-	for time.Since(healed) < recovery {
+	for time.Since(healed) < s.config.recovery {
 		time.Sleep(500 * time.Millisecond)
 		if share, count := s.callers.served(time.Now().Add(-time.Second)); count >= s.config.callers && share >= servedAgain {
 			s.logf("served again after %v", time.Since(healed).Round(100*time.Millisecond))
@@ -150,7 +152,7 @@
 		}
 	}
 	share, count := s.callers.served(time.Now().Add(-2 * time.Second))
-	s.violate("service is not back %v after the last fault: %.2f of %d requests served", recovery, share, count)
+	s.violate("service is not back %v after the last fault: %.2f of %d requests served", s.config.recovery, share, count)
 }
 
 // check compares what callers were told with what ran.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,8 @@
 	program, err := testsite.Build(dir)
 	assert.NilError(t, err)
 	var log bytes.Buffer
+	// Machines that run tests may be busy, so no time decides here; make soak checks the stated one.
+	played.recovery = 4 * statedRecovery
 	played.dir, played.program, played.out, played.gap = dir, program, &log, 300*time.Millisecond
 	violations, err := runSoak(played)
 	assert.NilError(t, err)
