--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -122,6 +122,16 @@
 	g.grant()
 }
 
+// PaceAge is the age of the last reading; -1 ms: none.
+func (g *Gate) PaceAge() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.pace.told {
+		return -time.Millisecond
+	}
+	return time.Since(g.pace.at)
+}
+
 func slowNow(factor float64) *failure.Error {
 	return failure.New(failure.TargetSlow, failure.NotRun, "the target takes %.1f times as long as usual now", factor)
 }
--- a/internal/inbound/pace.go
+++ b/internal/inbound/pace.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// PaceAge is the age of the last reading of the target's pace; -1 ms: none.
+func (h *Handler) PaceAge() time.Duration { return h.gate.PaceAge() }
+
 // readPace asks the target's health path for its pace. The answer's status is ignored: health says nothing about it.
 func (h *Handler) readPace() (float64, bool) {
 	path := h.healthPath()
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -80,6 +80,7 @@
 	ownVersion  atomic.Uint64
 	memberCount atomic.Int64 // rows known
 	listLoaded  atomic.Bool
+	listAt      atomic.Pointer[time.Time] // when the list in force was taken over
 	stopping    atomic.Bool
 	ranked      atomic.Pointer[[]cluster.Member] // see candidates
 
@@ -131,6 +132,14 @@
 // Loaded is closed once the members were read from the store; OwnRow is valid from then on.
 func (d *Directory) Loaded() <-chan struct{} { return d.loaded }
 
+// ListAge is the time since the list in force was taken over; -1 ms: there is none.
+func (d *Directory) ListAge() time.Duration {
+	if at := d.listAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return -time.Millisecond
+}
+
 // Listed is closed once a service list is in force.
 func (d *Directory) Listed() <-chan struct{} { return d.listed }
 
@@ -297,6 +306,8 @@
 	d.current, d.text = list, text
 	d.listVersion.Store(list.Version)
 	d.listLoaded.Store(true)
+	now := time.Now()
+	d.listAt.Store(&now)
 	d.config.Metrics.Gauge("list.version").Update(int64(list.Version))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -215,7 +215,7 @@
 		}
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", n.metrics)
+	mux.HandleFunc("GET /metrics", n.serveMetrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", ready)
 	mux.HandleFunc("GET "+n.platform.ReadyPath(), ready)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -31,6 +31,31 @@
 	return state
 }
 
+// updateGauges sets the gauges that are read, not counted.
+func (n *Node) updateGauges() {
+	state := n.state()
+	storeLost := int64(0)
+	if state.StoreLost {
+		storeLost = 1
+	}
+	for name, value := range map[string]int64{
+		"target.in-flight": int64(state.InFlight),
+		"target.queued":    int64(state.Queued),
+		"members":          int64(state.Members),
+		"list.version":     int64(state.List),
+		"list.age.ms":      n.directory.ListAge().Milliseconds(),
+		"store.lost":       storeLost,
+		"pace.age.ms":      n.target.paceAge().Milliseconds(),
+	} {
+		n.metrics.Gauge(name).Update(value)
+	}
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	n.updateGauges()
+	n.metrics.ServeHTTP(w, r)
+}
+
 // ready reports whether callers may be sent to the node.
 func (n *Node) ready() bool { return !n.draining.Load() && n.directory.Ready() }
 
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -268,6 +268,14 @@
 	})
 }
 
+// paceAge is the age of the last reading of the target's pace; -1 ms: none.
+func (t *localTarget) paceAge() time.Duration {
+	if served := t.current.Load(); served != nil {
+		return served.handler.PaceAge()
+	}
+	return -time.Millisecond
+}
+
 // left reports whether the target left for good.
 func (t *localTarget) left() bool {
 	t.mu.Lock()
