--- a/demo/rows.go
+++ b/demo/rows.go
@@ -8,14 +8,20 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/testsite"
+	"github.com/acacialock/acacialock/platform/standin"
 )
 
-// desiredState has one route for purchases and one for lookups.
-const desiredState = `{"Version":"00000001","Resources":[
-{"ResourceType":"Routes","Metadata":{"Name":"purchases"},"Spec":{"Host":"storefront.example","Prefix":"/purchases/","Kind":"non_idempotent","Timeout":"4s","TargetLatency":"800ms","Priority":1,"Service":"storefront","MaxAttempts":2}},
-{"ResourceType":"Routes","Metadata":{"Name":"bales"},"Spec":{"Host":"storefront.example","Prefix":"/bales/","Kind":"idempotent","Timeout":"3s","TargetLatency":"800ms","Priority":2,"Service":"storefront","MaxAttempts":2}},
-{"ResourceType":"Services","Metadata":{"Name":"storefront"},"Spec":{"HealthPath":"/health","MaxConnections":260}},
-{"ResourceType":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3s","IdleTimeout":"15s"}}]}`
+// routes are one for purchases and one for lookups.
+var routes = []standin.Route{
+	{
+		Name: "purchases", Host: "storefront.example", Prefix: "/purchases/", Service: "storefront",
+		Timeout: 4 * time.Second, TargetLatency: 800 * time.Millisecond, Priority: 1, MaxAttempts: 2,
+	},
+	{
+		Name: "bales", Host: "storefront.example", Prefix: "/bales/", Service: "storefront", Idempotent: true,
+		Timeout: 3 * time.Second, TargetLatency: 800 * time.Millisecond, Priority: 2, MaxAttempts: 2,
+	},
+}
 
 // runRows shows the form of the users' platform: workers check in, and the desired state is a row of the store.
 func runRows(ctx context.Context) error {
@@ -33,7 +39,7 @@
 		return err
 	}
 	defer site.Close()
-	site.Store.Put("op", "config", []byte(desiredState))
+	site.Store.SetDesired(1, routes)
 	report := func(problem string) { fmt.Fprintln(os.Stderr, problem) }
 	for _, zone := range []string{"sj-a", "sj-b", "gc-a"} {
 		place := testsite.Place{Name: "storefront-" + zone, Service: "storefront", Zone: zone}
@@ -46,8 +52,8 @@
 	}
 	entry := site.Nodes[0].Entry
 	fmt.Printf("The stand-in of the store listens on %s. Logs: %s. Try:\n\n", site.StoreAddr, strings.TrimSuffix(site.Nodes[0].LogFile, site.Nodes[0].Name+".log"))
-	fmt.Printf("  curl -i -H 'Host: storefront.example' -H 'Acacialock-Request-Id: r1' http://%s/bales/\n", entry)
-	fmt.Printf("  curl -i -H 'Host: storefront.example' -H 'Acacialock-Request-Id: r2' -d 'lot=7' http://%s/purchases/\n", entry)
+	fmt.Printf("  curl -i -H 'Host: storefront.example' %s http://%s/bales/\n", standin.CurlOptions("r1"), entry)
+	fmt.Printf("  curl -i -H 'Host: storefront.example' %s -d 'lot=7' http://%s/purchases/\n", standin.CurlOptions("r2"), entry)
 	fmt.Printf("  go run ./cmd/acacialock --platform %s status --rows --ask\n\n", site.StoreAddr)
 	fmt.Println("Ctrl-C ends the demo.")
 	<-ctx.Done()
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -1,5 +1,6 @@
-// Package membership follows the store: the members that nodes announce there, and the service list. A node writes its own
-// row on each change and never to show that it is alive; whether a member answers is seen by those who send to it.
+// Package membership knows the members that nodes announce in the store, and the service list there. A node writes its own
+// row on each change and never to show that it is alive; whether a member answers is seen by those who send to it. One node
+// of a zone reads the store and hands the rows on to the others.
 package membership
 
 import (
--- a/internal/testsite/backend.go
+++ b/internal/testsite/backend.go
@@ -134,7 +134,7 @@
 	case Failing:
 		w.WriteHeader(http.StatusInternalServerError)
 	case Unsigned:
-		w.Header().Del("Acacialock-Response-Signature")
+		standin.Unsign(w.Header())
 		_, _ = w.Write([]byte("bytes that are no answer")) // the node may be gone
 	case CutShort:
 		w.Header().Set("Content-Length", "5000")
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/testsite"
+	"github.com/acacialock/acacialock/platform/standin"
 )
 
 const (
@@ -108,8 +109,7 @@
 	}
 	sending.Host = host
 	sending.GetBody = nil // nothing is sent twice
-	sending.Header.Set("Acacialock-Request-Id", r.id)
-	sending.Header.Set("Acacialock-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	standin.Stamp(sending.Header, r.id, callTimeout)
 	r.began = time.Now()
 	answer, err := transport.RoundTrip(sending)
 	if err != nil {
@@ -129,10 +129,11 @@
 
 // judge looks for bytes that don't belong to the request.
 func (r *request) judge(answer *http.Response, text []byte, want string) {
+	id, signed := standin.AnswerOf(answer.Header)
 	switch {
-	case answer.StatusCode == http.StatusOK && answer.Header.Get("Acacialock-Request-Id") != r.id:
-		r.problem = fmt.Sprintf("the answer belongs to request %q", answer.Header.Get("Acacialock-Request-Id"))
-	case answer.StatusCode == http.StatusOK && answer.Header.Get("Acacialock-Response-Signature") == "":
+	case answer.StatusCode == http.StatusOK && id != r.id:
+		r.problem = fmt.Sprintf("the answer belongs to request %q", id)
+	case answer.StatusCode == http.StatusOK && !signed:
 		r.problem = "a success without a worker's signature"
 	case answer.StatusCode == http.StatusOK && !bytes.HasSuffix(text, []byte(want)):
 		r.problem = fmt.Sprintf("the body is %q, want %q after the worker's id", text, want)
--- a/soak/lists.go
+++ b/soak/lists.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,10 +20,10 @@
 	changed time.Time
 }
 
-const (
-	listTable, listKey = "op", "config"
-	routeLife          = 3 // versions
-)
+const routeLife = 3 // versions
+
+// watchTimeout bounds a question about a route.
+const watchTimeout = 1500 * time.Millisecond
 
 func routePath(k int) string { return fmt.Sprintf("/v/%d/", k) }
 
@@ -34,18 +33,17 @@
 	defer l.mu.Unlock()
 	l.version++
 	l.changed = time.Now()
-	var routes strings.Builder
-	route := func(name, prefix, kind string) {
-		fmt.Fprintf(&routes, `{"ResourceType":"Routes","Metadata":{"Name":%q},"Spec":{"Host":%q,"Prefix":%q,"Kind":%q,"Timeout":"1900ms","TargetLatency":"500ms","Priority":1,"Service":"shop","MaxAttempts":3}},`,
-			name, host, prefix, kind)
+	route := func(name, prefix string, idempotent bool) standin.Route {
+		return standin.Route{
+			Name: name, Host: host, Prefix: prefix, Service: "shop", Idempotent: idempotent, Timeout: 1900 * time.Millisecond,
+			TargetLatency: 500 * time.Millisecond, Priority: 1, MaxAttempts: 3,
+		}
 	}
-	route("buy", "/buy/", "non_idempotent")
-	route("browse", "/browse/", "idempotent")
+	routes := []standin.Route{route("buy", "/buy/", false), route("browse", "/browse/", true)}
 	for k := max(1, l.version-routeLife+1); k <= l.version; k++ {
-		route(fmt.Sprintf("v%d", k), routePath(k), "idempotent")
+		routes = append(routes, route(fmt.Sprintf("v%d", k), routePath(k), true))
 	}
-	l.store.Put(listTable, listKey, fmt.Appendf(nil, `{"Version":"%08x","Resources":[%s{"ResourceType":"Services","Metadata":{"Name":"shop"},"Spec":{"HealthPath":"/health","MaxConnections":260}},{"ResourceType":"Limits","Metadata":{},"Spec":{"MaxBodyBytes":1048576}}]}`,
-		l.version, routes.String()))
+	l.store.SetDesired(l.version, routes)
 	return l.version
 }
 
@@ -105,8 +103,7 @@
 		return 0
 	}
 	request.Host = host
-	request.Header.Set("Acacialock-Request-Id", fmt.Sprintf("w-%s-%d", w.node.Name, w.count))
-	request.Header.Set("Acacialock-Deadline-Ms", "1500")
+	standin.Stamp(request.Header, fmt.Sprintf("w-%s-%d", w.node.Name, w.count), watchTimeout)
 	answer, err := w.client.Do(request)
 	if err != nil {
 		return 0
