--- a/internal/testsite/backend.go
+++ b/internal/testsite/backend.go
@@ -65,6 +65,7 @@
 	server    *http.Server
 	stop      context.CancelFunc // ends the check-ins
 	born      int64
+	clock     time.Duration // of the machine's time of day ahead of the real one
 }
 
 // Behaviour is how a worker answers.
@@ -88,7 +89,11 @@
 	}
 	b.boots++
 	b.worker = b.WorkerID(b.boots)
-	b.born = max(b.born+1, time.Now().UnixMilli())
+	now := time.Now().Add(b.clock).UnixMilli()
+	if now == b.born {
+		now++ // two starts within a millisecond are told apart
+	}
+	b.born = now
 	b.announcer = &standin.Announcer{
 		Node: b.checkInAddr, Worker: b.worker, Service: b.service, Addr: b.announced, Zone: b.zone, Slots: 9, Born: b.born,
 		Client: b.client,
@@ -108,6 +113,13 @@
 	return nil
 }
 
+// StepClock moves the time of day of the machine, by which later workers say when they started.
+func (b *Backend) StepClock(by time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clock += by
+}
+
 // Boots is the number of workers started so far; their ids are WorkerID(1) and on.
 func (b *Backend) Boots() int {
 	b.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,8 +62,13 @@
 		n.Backend.Release(s.ctx, random.IntN(3) > 0, span/4)
 		s.must(n.Backend.Boot())
 	}},
-	{"worker crash", true, func(s *soak, n *testsite.Node, _ *rand.Rand, span time.Duration) {
+	{"worker crash", true, func(s *soak, n *testsite.Node, random *rand.Rand, span time.Duration) {
 		n.Backend.Crash()
+		if random.IntN(3) == 0 {
+			step := time.Duration(random.IntN(20)-10) * time.Second
+			s.logf("the clock of %s jumps by %v", n.Name, step)
+			n.Backend.StepClock(step)
+		}
 		s.pause(span / 4)
 		s.must(n.Backend.Boot())
 	}},
