Serve, drain and reload in one place for both forms of a node

internal/serving opens the listeners, runs the parts of a process and ends them in order; settings.InForce holds what can change while a process runs. Both forms had their own copy of each.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,12 +15,12 @@
 }
 
 // adminHandler serves /metrics, /healthz, /readyz and /status.
-func (d *Daemon) adminHandler(opened *listeners) http.Handler {
+func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", d.metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.ready.Load() || opened.draining.Load() {
+		if !d.ready.Load() || d.draining.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -28,7 +28,7 @@
 		now := status{
 			Control:    d.control.Status(),
 			OwnMembers: len(d.view.Load().Members[d.self.Service]),
-			Draining:   opened.draining.Load(),
+			Draining:   d.draining.Load(),
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(now) // the client may have gone away
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/budget"
@@ -26,6 +25,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/quarantine"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/serving"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
@@ -43,8 +43,7 @@
 
 // Daemon is one node.
 type Daemon struct {
-	settings  *settings.Settings // of the start; see Reload
-	drainFor  atomic.Int64       // drain timeout in force, a time.Duration
+	settings  *settings.InForce
 	options   Options
 	self      cluster.Member
 	view      *cluster.View
@@ -57,7 +56,8 @@
 	entry     *entry.Handler
 	policies  *entry.Policies
 	transport *forward.Transport
-	listeners *listeners
+	servers   *serving.Servers
+	draining  atomic.Bool
 	// ready is set once control is ready and the suspects that other nodes know were taken over. Forwarded requests are
 	// refused before, or a request that crashes targets would take down each new instance.
 	ready atomic.Bool
@@ -71,8 +71,7 @@
 
 // New builds a node and opens its listeners.
 func New(set *settings.Settings, options Options) (*Daemon, error) {
-	d := &Daemon{settings: set, options: options, self: set.NewMember(), metrics: telemetry.New()}
-	d.drainFor.Store(int64(set.DrainTimeout))
+	d := &Daemon{settings: settings.Start(set), options: options, self: set.NewMember(), metrics: telemetry.New()}
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
 	d.metering = &metering{bytes: budget.NewBytes(defaultLimits, nil), view: d.view}
 	d.peers = peerclient.New(options.Dial, func(next http.RoundTripper) http.RoundTripper {
@@ -95,7 +94,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "open listeners")
 	}
-	d.listeners = opened
+	d.servers = opened
 	return d, nil
 }
 
@@ -196,42 +195,16 @@
 
 // Run serves until ctx ends, then drains and leaves. It returns nil after a complete drain.
 func (d *Daemon) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, running := errgroup.WithContext(background)
-	group.Go(func() error { return d.control.Run(running) })
-	group.Go(func() error {
-		d.keys.Run(running)
-		return nil
-	})
-	group.Go(func() error {
-		d.inbound.WatchHealth(running)
-		return nil
-	})
-	group.Go(func() error {
-		d.refresh(running)
-		return nil
-	})
-	group.Go(func() error {
-		d.becomeReady(running)
-		return nil
-	})
-	d.listeners.serve(group)
 	klog.Infof("node %s serves service %s: entry %s, peers %s, admin %s", d.self.ID, d.self.Service,
 		d.settings.EntryAddr, d.settings.PeerAddr, d.settings.AdminAddr)
-	select {
-	case <-ctx.Done():
-	case <-running.Done():
-		d.close()
-		return group.Wait()
-	}
-	drained := d.drain()
-	stop()
-	d.close()
-	if err := group.Wait(); err != nil {
-		return err
+	parts := []serving.Part{
+		d.control.Run,
+		serving.Until(d.keys.Run),
+		serving.Until(d.inbound.WatchHealth),
+		serving.Until(d.refresh),
+		serving.Until(d.becomeReady),
 	}
-	return drained
+	return serving.Run(ctx, append(parts, d.servers.Parts()...), d.drain, d.close)
 }
 
 // readyPoll is the interval at which the start is checked for its end.
@@ -272,18 +245,15 @@
 
 // Reload takes over a changed drain timeout at once; other settings take effect at the next start.
 func (d *Daemon) Reload(changed *settings.Settings) {
-	if keys := changed.NeedStart(d.settings); len(keys) > 0 {
-		klog.InfoS("changed settings take effect at the next start", "keys", keys)
-	}
-	d.drainFor.Store(int64(changed.DrainTimeout))
+	d.settings.Take(changed)
 }
 
 // drain refuses new work, finishes what is in flight, hands keys over and leaves.
 func (d *Daemon) drain() error {
 	klog.Infof("node %s drains", d.self.ID)
 	started := time.Now()
-	d.listeners.drainEntry()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.drainFor.Load()))
+	d.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer cancel()
 	go d.control.SetDraining()
 	drained := d.inbound.Drain(ctx)
@@ -294,7 +264,7 @@
 		klog.Warningf("node %s left without telling a leader: %v", d.self.ID, err)
 	}
 	time.Sleep(lameDuck - time.Since(started))
-	if err := d.listeners.shutdown(ctx); err != nil {
+	if err := d.servers.Shutdown(ctx); err != nil {
 		return eris.Wrap(err, "requests were still in flight at the drain timeout")
 	}
 	return eris.Wrap(drained, "requests were still in flight at the drain timeout")
@@ -308,7 +278,7 @@
 }
 
 func (d *Daemon) close() {
-	d.listeners.close()
+	d.servers.Close()
 	d.policies.Close()
 	d.transport.Close()
 	d.inbound.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/budget"
@@ -26,6 +23,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/quarantine"
 	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/serving"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/telemetry"
 	"github.com/acacialock/acacialock/internal/wire"
@@ -69,16 +67,11 @@
 	answerMargin = 250 * time.Millisecond
 	// leaveTimeout bounds the removal of the own row at the end.
 	leaveTimeout = 500 * time.Millisecond
-	// readHeaderTimeout is above the longest time that operators allow callers for a header.
-	readHeaderTimeout = 10 * time.Second
-	// serverIdleTimeout is longer than the idle time of callers and of other nodes' connections, so that they close first.
-	serverIdleTimeout = 150 * time.Second
 )
 
 // Node is one node.
 type Node struct {
-	settings  *settings.Settings // of the start; see Reload
-	drainFor  atomic.Int64       // drain timeout in force, a time.Duration
+	settings  *settings.InForce
 	platform  Platform
 	self      cluster.Member // without the number of the target's boot in its id
 	view      *cluster.View
@@ -89,20 +82,13 @@
 	policies  *entry.Policies
 	entry     *entry.Handler
 	target    *localTarget
-	servers   []server
+	servers   *serving.Servers
 	draining  atomic.Bool
 }
 
-type server struct {
-	name   string
-	socket net.Listener
-	http   *http.Server
-}
-
 // New builds a node and opens its listeners.
 func New(set *settings.Settings, on Platform) (*Node, error) {
-	n := &Node{settings: set, platform: on, self: set.NewMember(), metrics: telemetry.New()}
-	n.drainFor.Store(int64(set.DrainTimeout))
+	n := &Node{settings: settings.Start(set), platform: on, self: set.NewMember(), metrics: telemetry.New()}
 	n.view = cluster.NewView(&cluster.Snapshot{Self: n.self})
 	n.peers = peerclient.New(nil, nil)
 	n.directory = membership.New(membership.Config{
@@ -135,9 +121,11 @@
 		RequestID: on.RequestID(),
 	})
 	n.target = &localTarget{node: n}
-	if err := n.listen(); err != nil {
+	opened, err := n.listen()
+	if err != nil {
 		return nil, err
 	}
+	n.servers = opened
 	return n, nil
 }
 
@@ -158,32 +146,17 @@
 	})
 }
 
-func (n *Node) listen() error {
-	bind := []struct {
-		name, addr string
-		handler    http.Handler
-	}{
-		{"entry", n.settings.EntryAddr, framing.Handler(framing.CloseWhile(&n.draining, n.platform.Callers(n.settings.Service, n.entry)), n.entry.RefuseHeader)},
-		{"peer", n.settings.PeerAddr, n.peerHandler()},
-		{"admin", n.settings.AdminAddr, n.adminHandler()},
-		{"check-in", n.settings.CheckInAddr, n.platform.CheckIns(n.target)},
-	}
-	for _, one := range bind {
-		socket, err := net.Listen("tcp", one.addr)
-		if err != nil {
-			n.closeServers()
-			return eris.Wrapf(err, "open the %s listener", one.name)
-		}
-		opened := server{one.name, framing.Listen(socket), &http.Server{
-			ConnContext: framing.ConnContext, ConnState: framing.ConnState,
-			Handler: one.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
-		}}
-		if one.name == "entry" {
-			opened.socket = framing.ListenLimited(socket, n.entry.CallerLimits)
-		}
-		n.servers = append(n.servers, opened)
-	}
-	return nil
+func (n *Node) listen() (*serving.Servers, error) {
+	callers := n.platform.Callers(n.settings.Service, n.entry)
+	return serving.Open(
+		serving.Listener{
+			Name: "entry", Addr: n.settings.EntryAddr, Limits: n.entry.CallerLimits, Drains: true,
+			Handler: framing.Handler(framing.CloseWhile(&n.draining, callers), n.entry.RefuseHeader),
+		},
+		serving.Listener{Name: "peer", Addr: n.settings.PeerAddr, Handler: n.peerHandler(), Drains: true},
+		serving.Listener{Name: "admin", Addr: n.settings.AdminAddr, Handler: n.adminHandler()},
+		serving.Listener{Name: "check-in", Addr: n.settings.CheckInAddr, Handler: n.platform.CheckIns(n.target)},
+	)
 }
 
 // peerHandler serves other nodes. Forwarded paths go past the mux, which would redirect paths with "//" or "..".
@@ -224,37 +197,10 @@
 
 // Run serves until ctx ends, then drains. It returns nil after a complete drain.
 func (n *Node) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, running := errgroup.WithContext(background)
-	group.Go(func() error { return n.directory.Run(running) })
-	group.Go(func() error {
-		n.loadTarget(running)
-		return nil
-	})
-	for _, one := range n.servers {
-		group.Go(func() error {
-			if err := one.http.Serve(one.socket); err != http.ErrServerClosed {
-				return eris.Wrapf(err, "serve the %s listener", one.name)
-			}
-			return nil
-		})
-	}
 	klog.InfoS("started", "node", n.self.ID, "service", n.self.Service, "zone", n.self.Zone, "region", n.self.Region,
 		"entry", n.settings.EntryAddr, "peer", n.settings.PeerAddr)
-	select {
-	case <-ctx.Done():
-	case <-running.Done():
-		n.close()
-		return group.Wait()
-	}
-	drained := n.drain()
-	stop()
-	n.close()
-	if err := group.Wait(); err != nil {
-		return err
-	}
-	return drained
+	parts := []serving.Part{n.directory.Run, serving.Until(n.loadTarget)}
+	return serving.Run(ctx, append(parts, n.servers.Parts()...), n.drain, n.close)
 }
 
 // Snapshot is what the node knows now.
@@ -262,10 +208,7 @@
 
 // Reload takes over changed settings: the drain timeout and the terms of retries at once, others at the next start.
 func (n *Node) Reload(changed *settings.Settings) {
-	if keys := changed.NeedStart(n.settings); len(keys) > 0 {
-		klog.InfoS("changed settings take effect at the next start", "keys", keys)
-	}
-	n.drainFor.Store(int64(changed.DrainTimeout))
+	n.settings.Take(changed)
 	n.platform.Reload(changed)
 	n.directory.Reparse()
 }
@@ -293,7 +236,7 @@
 	n.draining.Store(true)
 	n.target.stop()
 	n.directory.StopServing()
-	end := started.Add(time.Duration(n.drainFor.Load()) - exitMargin)
+	end := started.Add(n.settings.Drain() - exitMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.entry.StopBy(end.Add(-answerMargin))
@@ -304,12 +247,7 @@
 	case <-time.After(callersLeave - time.Since(started)):
 	case <-ctx.Done():
 	}
-	var failed error
-	for _, one := range n.servers[:2] {
-		if err := one.http.Shutdown(ctx); err != nil {
-			failed = eris.Wrapf(err, "requests were in flight at the %s listener at the drain timeout", one.name)
-		}
-	}
+	failed := n.servers.Shutdown(ctx)
 	klog.InfoS("stopped", "node", n.self.ID, "after", time.Since(started).Round(time.Millisecond), "complete", failed == nil)
 	return failed
 }
@@ -323,15 +261,8 @@
 	}
 }
 
-func (n *Node) closeServers() {
-	for _, one := range n.servers {
-		_ = one.http.Close() // ends the use of the socket either way
-		_ = one.socket.Close()
-	}
-}
-
 func (n *Node) close() {
-	n.closeServers()
+	n.servers.Close()
 	n.policies.Close()
 	n.transport.Close()
 	n.target.close()
