--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 func TestMain(m *testing.M) {
@@ -238,7 +239,7 @@
 		<-ctx.Done()
 		return none, ctx.Err()
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := timing.Sleep(ctx, wait); err != nil {
 		return none, err
 	}
 	l.w.mu.Lock()
@@ -251,7 +252,7 @@
 	if err != nil {
 		return none, err
 	}
-	return answer, sleep(ctx, wait)
+	return answer, timing.Sleep(ctx, wait)
 }
 
 func (l link) Heartbeat(ctx context.Context, r *rpc.HeartbeatRequest) (*rpc.HeartbeatResponse, error) {
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -14,6 +14,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 const (
@@ -181,7 +182,7 @@
 	if c := f.fromPeers(ctx); c != nil {
 		return c, nil
 	}
-	if err := sleep(ctx, f.delay); err != nil {
+	if err := timing.Sleep(ctx, f.delay); err != nil {
 		return nil, err
 	}
 	if c := f.fromPeers(ctx); c != nil {
@@ -258,15 +259,3 @@
 	list.Version = version
 	return &candidate{list: &list, sha: sha}, nil
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/start.go
+++ b/internal/control/start.go
@@ -9,6 +9,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 // startAnswers is what the seeds and the table told a node that starts.
@@ -77,7 +78,7 @@
 			answers.take(members, found)
 		})
 	}
-	err := sleep(ctx, a.delay)
+	err := timing.Sleep(ctx, a.delay)
 	asked.Wait()
 	if err != nil {
 		return nil, err
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -13,6 +13,7 @@
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 // memoryFeed is a platform.Feed in memory; late writes are kept and applied by release if their condition still holds.
@@ -49,7 +50,7 @@
 	}
 	f.mu.Unlock()
 	if silent {
-		sleep(ctx, wait)
+		_ = timing.Sleep(ctx, wait)
 		return nil, 0, &platform.UnavailableError{Operation: "changes", Cause: context.DeadlineExceeded}
 	}
 	for end := time.Now().Add(wait); ; {
@@ -65,7 +66,7 @@
 		if len(rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
 			return rows, version, ctx.Err()
 		}
-		sleep(ctx, time.Millisecond)
+		_ = timing.Sleep(ctx, time.Millisecond)
 	}
 }
 
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 // followed is a table that a node follows, in the store or through a reader.
@@ -157,7 +158,7 @@
 			d.relay.setReading(true)
 		}
 		if len(rows) > 0 && of.pause != nil {
-			sleep(ctx, of.pause())
+			_ = timing.Sleep(ctx, of.pause()) // the loop sees the end of ctx
 		}
 	}
 }
@@ -197,14 +198,5 @@
 
 func (b *backoff) wait(ctx context.Context) {
 	b.pause = min(max(2*b.pause, firstRetry), lastRetry)
-	sleep(ctx, b.pause+rand.N(b.pause/2))
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = timing.Sleep(ctx, b.pause+rand.N(b.pause/2)) // callers see the end of ctx
 }
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -20,6 +20,7 @@
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/timing"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -146,8 +147,7 @@
 // look tries to follow a reader until it finds one or ctx ends.
 func (d *Directory) look(ctx context.Context) *upstream {
 	for {
-		sleep(ctx, lookInterval)
-		if ctx.Err() != nil {
+		if timing.Sleep(ctx, lookInterval) != nil {
 			return nil
 		}
 		if !d.members.known.Load() || !d.list.known.Load() || d.stopping.Load() {
--- a/internal/operator/zones.go
+++ b/internal/operator/zones.go
@@ -11,6 +11,7 @@
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 const (
@@ -131,7 +132,7 @@
 			o.progress(line)
 			reported = line
 		}
-		if left := time.Until(end); left <= 0 || !sleep(ctx, min(pollInterval, left)) {
+		if left := time.Until(end); left <= 0 || timing.Sleep(ctx, min(pollInterval, left)) != nil {
 			return nil, pending
 		}
 	}
@@ -153,18 +154,6 @@
 	}
 }
 
-// sleep reports false when the context ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Status is the state of the whole system as the table shows it.
 type Status struct {
 	List  cluster.ListRow `json:"list"` // the accepted list; zero when there is none
@@ -177,7 +166,7 @@
 	watch := newWatch(o.Table)
 	zones, err := watch.read(ctx)
 	for end := time.Now().Add(observe); err == nil && time.Now().Before(end); {
-		if !sleep(ctx, min(pollInterval, time.Until(end))) {
+		if timing.Sleep(ctx, min(pollInterval, time.Until(end))) != nil {
 			return Status{}, eris.Wrap(ctx.Err(), "observe the zones")
 		}
 		zones, err = watch.read(ctx)
--- a/internal/operator/zones_test.go
+++ b/internal/operator/zones_test.go
@@ -18,6 +18,7 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/platformtest"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 // putLease writes a zone's lease row whatever its version.
@@ -40,7 +41,7 @@
 		}
 		lease.Renewals++
 		putLease(t, table, lease)
-		sleep(ctx, 2*time.Second)
+		_ = timing.Sleep(ctx, 2*time.Second)
 	}
 }
 
--- a/internal/platform/try.go
+++ b/internal/platform/try.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 // Reasons of a repeated try, as used in the counters' names.
@@ -53,7 +55,7 @@
 		if ctx.Err() == nil {
 			last = err
 			c.config.Metrics.Counter("platform.retry." + retryReason(err)).Inc(1)
-			sleep(ctx, c.wait(try, err))
+			_ = timing.Sleep(ctx, c.wait(try, err)) // the end of ctx is seen below
 		}
 		if ctx.Err() != nil {
 			c.config.Metrics.Counter("platform.unavailable." + op.operation).Inc(1)
@@ -194,15 +196,6 @@
 	return min(base, limit)
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Client) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         c.config.Dial,
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -12,6 +12,7 @@
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 const (
@@ -149,23 +150,12 @@
 		case time.Now().After(until):
 			return nil, noTurn()
 		}
-		if failed := sleep(ctx, turnPoll); failed != nil {
-			return nil, failed
+		if err := timing.Sleep(ctx, turnPoll); err != nil {
+			return nil, failure.Wrap(err, failure.CallerGone, failure.NotRun, "the caller left")
 		}
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) *failure.Error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return failure.Wrap(ctx.Err(), failure.CallerGone, failure.NotRun, "the caller left")
-	}
-}
-
 func quarantined() *failure.Error {
 	failed := failure.New(failure.Quarantined, failure.NotRun, "the request was running when targets crashed")
 	failed.RetryAfter = Duration
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/testsite"
+	"github.com/acacialock/acacialock/internal/timing"
 	"github.com/acacialock/acacialock/platform/standin"
 )
 
@@ -190,16 +190,7 @@
 }
 
 // pause waits; the end of the faults cuts it short.
-func (s *soak) pause(span time.Duration) { sleep(s.ctx, span) }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+func (s *soak) pause(span time.Duration) { _ = timing.Sleep(s.ctx, span) }
 
 func (s *soak) must(err error) {
 	if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/testsite"
+	"github.com/acacialock/acacialock/internal/timing"
 	"github.com/acacialock/acacialock/platform/standin"
 )
 
@@ -124,7 +125,7 @@
 		if problem := w.ask(); problem != "" {
 			s.violate("desired state went back: %s", problem)
 		}
-		sleep(ctx, watchEvery)
+		_ = timing.Sleep(ctx, watchEvery) // the loop sees the end of ctx
 	}
 }
 
