Derive what a directory knows, pack a list only for followers

- A value is compressed when the first follower needs it: each node did so for each list, while nobody followed it too.
A frame that brings nothing new does not look at the rows.
- One rule for the wait before a retry; avoided readers have a bound of their own instead of that of tombstones.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -44,6 +44,14 @@
 	Members map[string][]Member
 }
 
+// ListVersion is the version of the list; 0: none.
+func (s *Snapshot) ListVersion() uint64 {
+	if s.List == nil {
+		return 0
+	}
+	return s.List.Version
+}
+
 // Service returns the list's entry, or nil.
 func (s *Snapshot) Service(name string) *servicelist.Service {
 	if s.List == nil {
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -79,8 +79,7 @@
 	text    []byte            // of the list in force
 
 	ownVersion  atomic.Uint64
-	memberCount atomic.Int64 // rows known
-	listLoaded  atomic.Bool
+	memberCount atomic.Int64              // rows known
 	listAt      atomic.Pointer[time.Time] // when the list in force was taken over
 	stopping    atomic.Bool
 	ranked      atomic.Pointer[[]cluster.Member] // see candidates
@@ -95,7 +94,6 @@
 
 	// interruptMembers ends the read of member changes that is under way.
 	interruptMembers atomic.Pointer[context.CancelFunc]
-	listVersion      atomic.Uint64
 }
 
 type memberRow struct {
@@ -149,9 +147,13 @@
 
 // Ready reports whether the node knows the members and a service list.
 func (d *Directory) Ready() bool {
+	return isClosed(d.loaded) && isClosed(d.listed)
+}
+
+func isClosed(signal <-chan struct{}) bool {
 	select {
-	case <-d.loaded:
-		return d.listLoaded.Load()
+	case <-signal:
+		return true
 	default:
 		return false
 	}
@@ -215,12 +217,8 @@
 		}
 		d.memberCount.Store(int64(len(d.rows)))
 	})
-	select {
-	case <-d.loaded:
-	default:
-		if ctx.Err() == nil {
-			close(d.loaded)
-		}
+	if !isClosed(d.loaded) && ctx.Err() == nil {
+		close(d.loaded)
 	}
 }
 
@@ -242,9 +240,7 @@
 		return
 	}
 	if changed.Key == d.config.Name {
-		select {
-		case <-d.loaded:
-		default:
+		if !isClosed(d.loaded) {
 			d.initial = row
 		}
 		return
@@ -267,7 +263,7 @@
 		}
 		list, err := d.config.List.Parse(row.Value)
 		if err != nil {
-			klog.InfoS("service list rejected", "row", row.Version, "in_force", d.listVersion.Load(), "err", err.Error())
+			klog.InfoS("service list rejected", "row", row.Version, "in_force", d.config.View.Load().ListVersion(), "err", err.Error())
 			d.config.Metrics.Counter("list.rejected").Inc(1)
 			continue
 		}
@@ -305,16 +301,12 @@
 	}
 	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
 	d.current, d.text = list, text
-	d.listVersion.Store(list.Version)
-	d.listLoaded.Store(true)
 	now := time.Now()
 	d.listAt.Store(&now)
-	d.config.Metrics.Gauge("list.version").Update(int64(list.Version))
 }
 
 // publish gives traffic a new snapshot.
 func (d *Directory) publish() {
-	defer d.tellListed()
 	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.current, Members: map[string][]cluster.Member{}}
 	add := func(row Row) {
 		if row.Gone || row.Member.ID == "" {
@@ -339,16 +331,8 @@
 		slices.SortFunc(members, func(a, b cluster.Member) int { return strings.Compare(a.ID, b.ID) })
 	}
 	d.config.View.Publish(snapshot)
-}
-
-// tellListed closes listed after the first snapshot with a list.
-func (d *Directory) tellListed() {
-	select {
-	case <-d.listed:
-	default:
-		if d.current != nil {
-			close(d.listed)
-		}
+	if d.current != nil && !isClosed(d.listed) {
+		close(d.listed)
 	}
 }
 
@@ -389,11 +373,7 @@
 				retry.reset()
 				break
 			}
-			if d.list.lost.Load() {
-				d.awaitStore(ctx)
-			} else {
-				retry.wait(ctx)
-			}
+			d.waitToRetry(ctx, &retry)
 		}
 	}
 }
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -94,12 +94,14 @@
 // are priced, refused ones too, and one of three is enough to see that the store is back.
 const lostWait = 5 * time.Second
 
-// awaitStore waits until the follower of the list finds the store back.
-func (d *Directory) awaitStore(ctx context.Context) {
+// waitToRetry waits before a failed call is made again: while the follower of the list finds the store lost, until it finds
+// it back.
+func (d *Directory) waitToRetry(ctx context.Context, retry *backoff) {
 	d.backMu.Lock()
 	back := d.back
 	d.backMu.Unlock()
 	if !d.list.lost.Load() {
+		retry.wait(ctx)
 		return
 	}
 	timer := time.NewTimer(lostWait)
@@ -139,10 +141,10 @@
 			continue
 		case err != nil:
 			d.storeLost(of, after, err)
-			if of.leads || !d.list.lost.Load() {
+			if of.leads {
 				retry.wait(ctx)
 			} else {
-				d.awaitStore(ctx)
+				d.waitToRetry(ctx, &retry)
 			}
 			continue
 		}
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -77,26 +77,32 @@
 	version    uint64
 	known      bool
 	floor      uint64 // removals up to this version are not known
-	rows       map[string]rowFrame
+	rows       map[string]*relayRow
 	tombstones int
 }
 
+// relayRow is a row, and its frame once a follower needed it: most nodes have no followers.
+type relayRow struct {
+	platform.FeedRow
+	framed *rowFrame
+}
+
 func newRelay() *relay { return &relay{changed: make(chan struct{})} }
 
 // take applies rows that were read; whole tells that they are the whole table.
 func (t *relayTable) take(rows []platform.FeedRow, whole bool, version uint64) {
 	if whole || t.rows == nil {
-		t.rows, t.floor, t.tombstones = map[string]rowFrame{}, version, 0
+		t.rows, t.floor, t.tombstones = map[string]*relayRow{}, version, 0
 	}
 	for _, row := range rows {
-		old, seen := t.rows[row.Key]
-		if seen && row.Version < old.Version {
+		old := t.rows[row.Key]
+		if old != nil && row.Version < old.Version {
 			continue
 		}
-		if row.Removed && !old.Removed {
+		if row.Removed && (old == nil || !old.Removed) {
 			t.tombstones++
 		}
-		t.rows[row.Key] = packed(row)
+		t.rows[row.Key] = &relayRow{FeedRow: row}
 	}
 	t.version, t.known = max(t.version, version), true
 	if t.tombstones > maxTombstones {
@@ -112,14 +118,25 @@
 // since is what a follower needs that knows a version.
 func (t *relayTable) since(have uint64) tableFrame {
 	next := tableFrame{Version: t.version, Whole: have < t.floor}
+	if have == t.version {
+		return next // most frames only show that the reader lives
+	}
 	for _, row := range t.rows {
 		if next.Whole && !row.Removed || !next.Whole && row.Version > have {
-			next.Rows = append(next.Rows, row)
+			next.Rows = append(next.Rows, row.frame())
 		}
 	}
 	return next
 }
 
+func (r *relayRow) frame() rowFrame {
+	if r.framed == nil {
+		made := packed(r.FeedRow)
+		r.framed = &made
+	}
+	return *r.framed
+}
+
 func packed(row platform.FeedRow) rowFrame {
 	result := rowFrame{Key: row.Key, Version: row.Version, Value: row.Value, Removed: row.Removed}
 	if len(row.Value) <= packAbove {
--- a/internal/membership/row.go
+++ b/internal/membership/row.go
@@ -6,10 +6,8 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 )
 
-// Tables of the store. Each node writes only its own row of MembersTable.
-const (
-	MembersTable = "members"
-)
+// MembersTable is the table of the members' rows. Each node writes only its own.
+const MembersTable = "members"
 
 // Row is the value of a node's row in MembersTable; the key is the node's name.
 type Row struct {
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -37,6 +37,8 @@
 	// maxGroup is the mean number of nodes that share a reader. A frame has about 140 bytes with its headers of TCP and IP, so
 	// that the reader of 40 nodes sends 14 KB/s when nothing changes, which the users allow a node for control.
 	maxGroup = 40
+	// maxAvoided bounds the readers that are remembered as avoided; a zone has at most a few hundred nodes.
+	maxAvoided = 1000
 	// maxListBytes bounds an unpacked value; it is above the store's limit of 1 MB for an answer.
 	maxListBytes = 4 << 20
 )
@@ -201,7 +203,7 @@
 func (d *Directory) avoided(addr string) bool { return time.Now().Before(d.avoidUntil[addr]) }
 
 func (d *Directory) avoid(reader cluster.Member, err error) {
-	if len(d.avoidUntil) > maxTombstones {
+	if len(d.avoidUntil) >= maxAvoided {
 		clear(d.avoidUntil)
 	}
 	d.avoidUntil[reader.PeerAddr] = time.Now().Add(avoidReader)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -13,11 +13,9 @@
 	state := cluster.NodeState{
 		Member:    snapshot.Self,
 		Ready:     n.ready(),
+		List:      snapshot.ListVersion(),
 		StoreLost: n.directory.StoreLost(),
 	}
-	if snapshot.List != nil {
-		state.List = snapshot.List.Version
-	}
 	for _, members := range snapshot.Members {
 		state.Members += len(members)
 	}
