Ask the health path, hold for the pace and pass over lost members at one place

Found on reading the change again; behaviour is the same. - The gate computed heldByPace three times for one entry under the same lock. The target was slow wherever an entry was movable, so the second question is dropped. - choose asked each member twice whether it was usable. One pass counts the reachable ones. - Three functions built and sent a question to the health path. inbound.AskHealth serves them. - forgetSilent also acts on a refusal by a restarted node, so it is allowAgain.

Tests of admission, balance, inbound, entry and node pass with -race.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,6 @@
 // Package admission grants the slots of the local target. A short queue, ordered by what is still worth serving, holds
-// requests while no slot is free; requests whose deadline can't be met are refused before they are queued, or dropped from the queue.
+// requests while no slot is free; requests whose deadline can't be met are refused before they are queued, or dropped from
+// the queue.
 package admission
 
 import (
@@ -147,14 +148,15 @@
 		return nil, refused
 	}
 	g.aloneHas = g.aloneHas || w.Alone
-	if len(g.queue.waiters) == 0 && g.free(w.Alone) && !g.heldByPace(w, now) {
+	held := g.heldByPace(w, now)
+	if len(g.queue.waiters) == 0 && g.free(w.Alone) && !held {
 		slot := g.start(w, now)
 		g.mu.Unlock()
 		return slot, nil
 	}
 	// A request that waits for a slot stays: the targets elsewhere are as full.
-	w.movable = w.Movable && !w.Alone && g.heldByPace(w, now)
-	if w.movable && g.pace.slow(now) && !g.pace.stale(now) {
+	w.movable = w.Movable && !w.Alone && held
+	if w.movable && !g.pace.stale(now) { // so it is slow
 		refused := slowNow(g.pace.factor)
 		g.mu.Unlock()
 		return nil, refused
@@ -163,7 +165,7 @@
 		g.displace(now)
 	}
 	g.queue.add(w)
-	if g.heldByPace(w, now) {
+	if held {
 		g.wantPace(now)
 	}
 	patience := g.patience(now, w)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -11,17 +11,21 @@
 	allowed := p.allowed[:0]
 	healthy := p.healthy[:0]
 	stay := p.config.StayInRegion && p.regionAnswers(now)
-	usable := func(candidate *peer) bool {
-		return request.allows(&candidate.member, candidate.id()) && !candidate.draining &&
-			(!stay || candidate.distance != otherRegion)
-	}
-	reachable := slices.ContainsFunc(p.peers, func(candidate *peer) bool { return usable(candidate) && !candidate.reach.lost })
+	reachable := 0
 	for _, candidate := range p.peers {
-		// Lost members are tried only when no other is left: a check may be wrong.
-		if !usable(candidate) || reachable && candidate.reach.lost {
+		if !request.allows(&candidate.member, candidate.id()) || candidate.draining || stay && candidate.distance == otherRegion {
 			continue
 		}
 		allowed = append(allowed, candidate)
+		if !candidate.reach.lost {
+			reachable++
+		}
+	}
+	if reachable > 0 && reachable < len(allowed) {
+		// Lost members are tried only when no other is left: a check may be wrong.
+		allowed = slices.DeleteFunc(allowed, func(candidate *peer) bool { return candidate.reach.lost })
+	}
+	for _, candidate := range allowed {
 		if p.looksHealthy(candidate, now) {
 			healthy = append(healthy, candidate)
 		}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -144,7 +144,7 @@
 	}
 	k.last = ended.failed
 	k.replaces = id
-	k.call.forgetSilent(ended)
+	k.call.allowAgain(ended)
 	if ended.failed.Reason == failure.Fenced {
 		// Another copy of the call fenced this attempt and may have run the key since, so not-run can't be said
 		// before the owner was asked again.
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -40,7 +40,7 @@
 				closeLate(ended, pending)
 				return one
 			}
-			c.forgetSilent(one)
+			c.allowAgain(one)
 			if h.mayRepeat(c, policy, one) && h.relaunch(ctx, c, policy, ended) == nil {
 				pending++
 			}
@@ -154,10 +154,10 @@
 	return true
 }
 
-// forgetSilent lets a member be picked again after a silent connection, as the next send uses a new one, and after its node
+// allowAgain lets a member be picked again after a silent connection, as the next send uses a new one, and after its node
 // told the id that it has since a restart. Else a stall of the connections to all targets, or a restart of all nodes, would
 // leave none to choose.
-func (c *call) forgetSilent(ended result) {
+func (c *call) allowAgain(ended result) {
 	if ended.failed.Reason == failure.ConnectionSilent || ended.current != "" {
 		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == ended.member })
 	}
--- a/internal/inbound/hint.go
+++ b/internal/inbound/hint.go
@@ -60,16 +60,10 @@
 func (h *Handler) askHealth(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	url := "http://" + h.config.TargetAddr + h.config.HealthPath
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	answer, err := AskHealth(ctx, h.target.Load().transport, h.config.TargetAddr, h.config.HealthPath)
 	if err != nil {
 		return
 	}
-	answer, err := h.target.Load().transport.RoundTrip(request)
-	if err != nil {
-		return
-	}
-	_ = answer.Body.Close()
 	if answer.StatusCode == http.StatusServiceUnavailable {
 		h.noteDraining()
 	}
--- a/internal/inbound/pace.go
+++ b/internal/inbound/pace.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -45,26 +47,29 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), paceTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.config.TargetAddr+path, nil)
-	if err != nil {
-		h.paceUnread(err)
-		return 0, false
-	}
 	h.config.Metrics.Counter("pace.questions").Inc(1)
-	answer, err := h.probes.RoundTrip(request)
+	answer, err := AskHealth(ctx, h.probes, h.config.TargetAddr, path)
 	if err != nil {
-		h.paceUnread(err)
+		h.config.Metrics.Counter("pace.unread").Inc(1)
+		logPaceUnread(h.config.Self.ID, err) // the gate starts requests without a reading
 		return 0, false
 	}
-	defer answer.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes)) // only the header counts
 	return h.pace(answer.Header)
 }
 
-// paceUnread counts a question without an answer. The gate then starts requests without one.
-func (h *Handler) paceUnread(err error) {
-	h.config.Metrics.Counter("pace.unread").Inc(1)
-	logPaceUnread(h.config.Self.ID, err)
+// AskHealth asks a target's health path and returns the answer without its body.
+func AskHealth(ctx context.Context, over http.RoundTripper, addr, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build a question to the health path")
+	}
+	answer, err := over.RoundTrip(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "ask the health path")
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthBytes)) // only the header counts
+	return answer, nil
 }
 
 // healthPath is the path of the settings or, without it, that of the service list.
--- a/internal/node/checkin.go
+++ b/internal/node/checkin.go
@@ -82,8 +82,8 @@
 	changeDrain               // the known boot began to drain
 )
 
-// apply takes over a check-in that arrived now. A late one of an earlier boot changes nothing, nor does one that was overtaken by a later
-// one of its boot. A drain or departure of a boot is never undone.
+// apply takes over a check-in that arrived now. A late one of an earlier boot changes nothing, nor does one that was
+// overtaken by a later one of its boot. A drain or departure of a boot is never undone.
 func (s *targetState) apply(announced *CheckIn, now time.Time) change {
 	known := s.id != ""
 	name := bootName{announced.TargetID, announced.Born}
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -165,18 +165,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.node.settings.TargetAddr+service.HealthPath, nil)
+	answer, err := inbound.AskHealth(ctx, &http.Transport{DisableKeepAlives: true}, t.node.settings.TargetAddr, service.HealthPath)
 	if err != nil {
 		klog.InfoS("target not resumed", "target", id, "err", err.Error())
 		return false
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	answer, err := transport.RoundTrip(request)
-	if err != nil {
-		klog.InfoS("target not resumed", "target", id, "err", err.Error())
-		return false
-	}
-	_ = answer.Body.Close() // the header says it all
 	if !t.node.platform.Serves(answer, id) {
 		klog.InfoS("target not resumed", "target", id, "status", answer.StatusCode)
 		return false
