--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -72,8 +72,8 @@
 	assert.NilError(tb, err)
 	client.Close()
 	set := &settings.Settings{
-		Name: "n", Service: "storefront", Region: "sanjose", Zone: "sj-a", EntryAddr: freeAddr(tb), PeerAddr: freeAddr(tb),
-		AdminAddr: freeAddr(tb), TargetAddr: targetAddr, PlatformAddr: addr, DrainTimeout: time.Second,
+		Name: "n", Service: "storefront", Region: "sanjose", Zone: "sj-a", EntryAddr: testnet.MustFreeAddr(tb), PeerAddr: testnet.MustFreeAddr(tb),
+		AdminAddr: testnet.MustFreeAddr(tb), TargetAddr: targetAddr, PlatformAddr: addr, DrainTimeout: time.Second,
 		PlatformTryTimeout: time.Second, PlatformOperationTimeout: 5 * time.Second,
 	}
 	node, err := New(set, Options{})
@@ -90,10 +90,3 @@
 		server.Close()
 	}
 }
-
-func freeAddr(tb testing.TB) string {
-	tb.Helper()
-	addr, err := testnet.FreeAddr()
-	assert.NilError(tb, err)
-	return addr
-}
--- a/internal/e2e/regions_test.go
+++ b/internal/e2e/regions_test.go
@@ -73,7 +73,7 @@
 	r.t.Cleanup(target.Close)
 	set := &settings.Settings{
 		Name: name, Service: "storefront", Zone: place.Zone, Region: place.Region,
-		EntryAddr: freeAddr(r.t), PeerAddr: freeAddr(r.t), AdminAddr: freeAddr(r.t),
+		EntryAddr: testnet.MustFreeAddr(r.t), PeerAddr: testnet.MustFreeAddr(r.t), AdminAddr: testnet.MustFreeAddr(r.t),
 		TargetAddr: target.Listener.Addr().String(), PlatformAddr: r.addr,
 		DrainTimeout: 10 * time.Second, PlatformTryTimeout: time.Second, PlatformOperationTimeout: 5 * time.Second,
 	}
@@ -90,13 +90,6 @@
 	})
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	addr, err := testnet.FreeAddr()
-	assert.NilError(t, err)
-	return addr
-}
-
 // serve is the target: it counts the runs of each order.
 func (r *regions) serve(w http.ResponseWriter, request *http.Request) {
 	order := request.Header.Get("X-Order")
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -1,7 +1,6 @@
 package testcluster
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/acacialock/acacialock/internal/testbuild"
 	"github.com/acacialock/acacialock/internal/testnet"
 )
 
@@ -81,21 +81,14 @@
 	return c, WaitFor(10*time.Second, "the platform", func() bool { return accepts(addr) })
 }
 
-// build compiles the programs of the module that holds the current directory.
 func (c *Cluster) build() error {
-	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
-	if err != nil {
-		return fmt.Errorf("find the module: %w", err)
+	var flags []string
+	if c.config.Race {
+		flags = append(flags, "-race")
 	}
 	for name, pkg := range programs {
-		args := []string{"build", "-o", c.path(name)}
-		if c.config.Race {
-			args = append(args, "-race")
-		}
-		build := exec.Command("go", append(args, pkg)...)
-		build.Dir = string(bytes.TrimSpace(root))
-		if out, err := build.CombinedOutput(); err != nil {
-			return fmt.Errorf("build %s: %w\n%s", pkg, err, out)
+		if _, err := testbuild.Program(c.config.Dir, name, pkg, flags...); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/testnet/freeaddr.go
+++ b/internal/testnet/freeaddr.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"testing"
 )
 
 // Ports of FreeAddr. They lie below those that the kernel gives to outgoing connections, which could else take a free port
@@ -36,3 +37,13 @@
 	}
 	return "", err
 }
+
+// MustFreeAddr returns an address of FreeAddr or ends the test.
+func MustFreeAddr(tb testing.TB) string {
+	tb.Helper()
+	addr, err := FreeAddr()
+	if err != nil {
+		tb.Fatalf("no free port: %v", err)
+	}
+	return addr
+}
--- a/internal/testsite/node.go
+++ b/internal/testsite/node.go
@@ -31,6 +31,7 @@
 	asked bool // the process was asked to end
 	cmd   *exec.Cmd
 	ended chan struct{}
+	end   error // how the last process ended, nil without a fault
 	boots int
 }
 
@@ -116,6 +117,7 @@
 	err := cmd.Wait()
 	n.mu.Lock()
 	asked := n.asked
+	n.end = err
 	n.mu.Unlock()
 	if asked {
 		close(ended)
@@ -166,6 +168,13 @@
 	}
 }
 
+// EndError is how the last process that ended did so: nil without a fault, else an *exec.ExitError.
+func (n *Node) EndError() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.end
+}
+
 // Boots is the number of processes started so far.
 func (n *Node) Boots() int {
 	n.mu.Lock()
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -3,14 +3,12 @@
 package testsite
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"time"
 
+	"github.com/acacialock/acacialock/internal/testbuild"
 	"github.com/acacialock/acacialock/platform/standin"
 )
 
@@ -95,15 +93,5 @@
 
 // Build compiles acacialockd of the module that holds the current directory.
 func Build(dir string) (program string, err error) {
-	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
-	if err != nil {
-		return "", fmt.Errorf("find the module: %w", err)
-	}
-	program = filepath.Join(dir, "acacialockd")
-	command := exec.Command("go", "build", "-o", program, "./cmd/acacialockd")
-	command.Dir = string(bytes.TrimSpace(root))
-	if out, err := command.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build acacialockd: %w\n%s", err, out)
-	}
-	return program, nil
+	return testbuild.Program(dir, "acacialockd", "./cmd/acacialockd")
 }
