Find members that are cut off without a call that waits out its deadline

Cause: a call that was sent to a member across the cut waited for its whole timeout of 3 s, and only its end told the balancer. When all three callers met such members at one time, nothing was answered. Ruled out: load of the machine as such (local calls went on in the same window), members of the own region marked lost.

Now the dial timeout bounds any dial, a probe or a question without an answer leads to a check of the member, and both forms of the node make checks.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,6 +50,7 @@
 type Pick struct {
 	Member cluster.Member
 	done   func(Result)
+	doubt  func()
 }
 
 // NewPick returns a pick that reports its result to done, which must ignore all calls but the first.
@@ -65,6 +66,14 @@
 	}
 }
 
+// Doubt reports that the member's node doesn't answer questions about the attempt, which goes on. The balancer then checks
+// whether the member can be reached, so that other calls need not find out by a deadline of their own.
+func (p Pick) Doubt() {
+	if p.doubt != nil {
+		p.doubt()
+	}
+}
+
 // Class is what became of an attempt, as far as the choice of target is concerned.
 type Class int
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -109,7 +109,21 @@
 	if chosen == nil {
 		return Pick{}, noTarget(p.config.Service, members)
 	}
-	return NewPick(member, p.doneOnce(chosen, trial, now)), nil
+	pick := NewPick(member, p.doneOnce(chosen, trial, now))
+	pick.doubt = func() { p.doubted(chosen) }
+	return pick, nil
+}
+
+// doubted checks at once whether the member can be reached.
+func (p *Pool) doubted(of *peer) {
+	if p.config.Reach == nil {
+		return
+	}
+	now := p.config.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	of.reach.doubt(now)
+	p.startChecks(now)
 }
 
 func (p *Pool) doneOnce(chosen *peer, trial bool, sent time.Time) func(Result) {
--- a/internal/balance/probe.go
+++ b/internal/balance/probe.go
@@ -91,6 +91,7 @@
 	target.probing = false
 	if err != nil {
 		p.count("probe-failed")
+		target.reach.doubt(now)
 		return
 	}
 	target.observe(reported, now)
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -36,9 +36,14 @@
 			r.lost, r.pause, r.checkAt = true, firstCheck, now.Add(firstCheck)
 		}
 	case failure.DeadlineExceeded, failure.ConnectionSilent:
-		if !r.lost && r.pause == 0 {
-			r.pause, r.checkAt = firstCheck, now
-		}
+		r.doubt(now)
+	}
+}
+
+// doubt asks for a check after a sign that the member may not be reached, such as a probe without an answer.
+func (r *reach) doubt(now time.Time) {
+	if !r.lost && r.pause == 0 {
+		r.pause, r.checkAt = firstCheck, now
 	}
 }
 
--- a/internal/balance/reach_test.go
+++ b/internal/balance/reach_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/wire"
 )
 
 // clock is a time that the test moves.
@@ -125,3 +126,34 @@
 		pick.Done(Result{Class: Failed, Reason: failure.ConnectFailed})
 	}
 }
+
+// Guards against calls that each find out by a deadline of their own that a member is cut off, though a probe had no answer
+// before: of a split of two regions.
+func TestProbeWithoutAnswerAsksForACheck(t *testing.T) {
+	now := &clock{now: time.Unix(1_000, 0)}
+	pool := NewPool(Config{
+		Service: "shop", Self: cluster.Member{ID: "entry@1", Zone: "a", Region: "r"}, Seed: 1, Clock: now.read,
+		Probe: func(_ context.Context, member cluster.Member) (wire.LoadSample, error) {
+			if member.ID == "dead@1" {
+				return wire.LoadSample{}, context.DeadlineExceeded
+			}
+			return wire.LoadSample{Latency: 20 * time.Millisecond}, nil
+		},
+		Reach: func(_ context.Context, member cluster.Member) bool { return member.ID != "dead@1" },
+	})
+	defer pool.Close()
+	pool.Update([]cluster.Member{{ID: "a@1", Zone: "a", Region: "r"}, {ID: "dead@1", Zone: "a", Region: "r"}})
+	for range 20 { // no call meets the member that is cut off
+		pick, err := pool.Pick(Request{Exclude: []string{"dead@1"}})
+		assert.NilError(t, err)
+		pick.Done(Result{Class: OK, Latency: 20 * time.Millisecond})
+		now.add(100 * time.Millisecond)
+		pool.probes.running.Wait()
+	}
+	for range 40 {
+		pick, err := pool.Pick(Request{})
+		assert.NilError(t, err)
+		assert.Equal(t, pick.Member.ID, "a@1")
+		pick.Done(Result{Class: OK, Latency: 20 * time.Millisecond})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,6 +178,7 @@
 	d.policies = entry.NewPolicies(entry.PoliciesConfig{
 		Self:      d.self,
 		Probe:     d.peers.Probe,
+		Reach:     d.peers.Reach,
 		Bytes:     d.metering.bytes,
 		Transport: d.transport,
 		Metrics:   d.metrics,
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,6 +27,7 @@
 	call       *call
 	id         wire.AttemptID
 	member     cluster.Member
+	doubt      func()        // tells the balancer that the member's node doesn't answer; see balance.Pick
 	sends      int           // sends of the call with this one
 	stay       bool          // the node keeps the call also when its target is slow
 	grant      *grantHeaders // keyed calls only
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -103,6 +103,8 @@
 	entry   *httptest.Server
 	targets []*httptest.Server
 	runs    sync.Map // order → *atomic.Int64
+	// cutOff is set when no node answers questions about attempts or takes a new connection.
+	cutOff atomic.Bool
 }
 
 func newFixture(t *testing.T, nodes int, target http.HandlerFunc) *fixture {
@@ -121,14 +123,22 @@
 		snapshot.Members["orders"] = append(snapshot.Members["orders"], f.startNode(t, fmt.Sprintf("n%d@1", i), snapshot, target))
 	}
 	transport := forward.New(forward.Config{Dial: f.network.dial, Metrics: f.metrics})
-	policies := NewPolicies(PoliciesConfig{Self: snapshot.Self, Bytes: budget.NewBytes(budget.Limits{}, nil), Transport: transport, Metrics: f.metrics})
+	policies := NewPolicies(PoliciesConfig{
+		Self: snapshot.Self, Bytes: budget.NewBytes(budget.Limits{}, nil), Transport: transport, Metrics: f.metrics,
+		Reach: func(context.Context, cluster.Member) bool { return !f.cutOff.Load() },
+	})
 	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	f.handler = New(Config{
 		View:      cluster.NewView(snapshot),
 		Transport: transport,
 		Policies:  policies,
-		Attempts:  func(addr string) rpc.Attempts { return rpc.NewAttemptsProtobufClient("http://"+addr, fresh) },
-		Metrics:   f.metrics,
+		Attempts: func(addr string) rpc.Attempts {
+			if f.cutOff.Load() {
+				addr = "127.0.0.1:1" // nothing listens there
+			}
+			return rpc.NewAttemptsProtobufClient("http://"+addr, fresh)
+		},
+		Metrics: f.metrics,
 	})
 	f.entry = httptest.NewServer(f.handler)
 	t.Cleanup(func() {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -135,7 +135,7 @@
 
 // run sends a granted attempt.
 func (k *keyedCall) run(ctx context.Context, pick balance.Pick, id wire.AttemptID, grant keys.Grant) (result, bool) {
-	started := k.handler.newAttempt(k.call, pick.Member)
+	started := k.handler.newAttempt(k.call, pick)
 	started.id = id
 	started.grant = &grantHeaders{owner: grant.Owner, rosterVersion: grant.RosterVersion}
 	ended := k.handler.observed(k.call, pick, started.run(ctx))
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/balance"
-	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/wire"
 )
@@ -71,7 +70,7 @@
 	if err != nil {
 		return asFailure(err)
 	}
-	started := h.newAttempt(c, pick.Member)
+	started := h.newAttempt(c, pick)
 	go func() { ended <- h.observed(c, pick, started.run(ctx)) }()
 	return nil
 }
@@ -112,11 +111,11 @@
 }
 
 // newAttempt prepares a send; it is called by the call's own goroutine only.
-func (h *Handler) newAttempt(c *call, member cluster.Member) *attempt {
-	c.tried = append(c.tried, member.ID)
+func (h *Handler) newAttempt(c *call, pick balance.Pick) *attempt {
+	c.tried = append(c.tried, pick.Member.ID)
 	c.sends++
 	stay := c.stay || c.key != "" || len(c.slow) >= maxMoves
-	return &attempt{handler: h, call: c, id: wire.NewAttemptID(), member: member, sends: c.sends, stay: stay}
+	return &attempt{handler: h, call: c, id: wire.NewAttemptID(), member: pick.Member, doubt: pick.Doubt, sends: c.sends, stay: stay}
 }
 
 // mayRepeat decides whether a failed attempt is followed by another and takes it from the budget.
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -15,6 +15,7 @@
 	state, err := a.ask(ctx, true)
 	if err != nil {
 		if !a.call.idempotent {
+			a.doubt()
 			return result{}, false // the connection may still be good; the deadline bounds the wait
 		}
 		a.discard(arrived)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,11 +23,24 @@
 	expectContinueLimit = 2 * time.Second
 )
 
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// DialWithin returns a function that opens connections with dial and gives up after the timeout. Without a bound of its own
+// a connection to a node that is cut off takes as long as the request that it is opened for.
+func DialWithin(timeout time.Duration, dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+}
+
 // Config configures a Transport.
 type Config struct {
-	// Dial opens a connection; nil uses net.Dialer with DialTimeout and TCP_USER_TIMEOUT.
-	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	// DialTimeout bounds the opening of a connection; default 250 ms.
+	// Dial opens a connection; nil uses net.Dialer with TCP_USER_TIMEOUT.
+	Dial DialFunc
+	// DialTimeout bounds the opening of a connection, whatever Dial is; default 250 ms.
 	DialTimeout time.Duration
 	// IdleTimeout closes connections that carried nothing for that long; default 90 s.
 	IdleTimeout time.Duration
@@ -65,9 +78,9 @@
 		config.IdlePerNode = DefaultIdlePerNode
 	}
 	if config.Dial == nil {
-		dialer := &net.Dialer{Timeout: config.DialTimeout, Control: setUserTimeout}
-		config.Dial = dialer.DialContext
+		config.Dial = (&net.Dialer{Control: setUserTimeout}).DialContext
 	}
+	config.Dial = DialWithin(config.DialTimeout, config.Dial)
 	return &Transport{config: config, nodes: map[string]*Generation{}}
 }
 
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/forward"
 	"github.com/acacialock/acacialock/internal/rpc"
 	"github.com/acacialock/acacialock/internal/wire"
 )
@@ -18,23 +19,21 @@
 	peerIdleConns   = 2 // per node
 )
 
-// DialFunc opens a connection.
-type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // Clients makes twirp clients for other nodes. Safe for concurrent use.
 type Clients struct {
 	// Kept keeps connections.
 	Kept  *http.Client
 	fresh *http.Client // opens a connection for each call
-	dial  DialFunc
+	dial  forward.DialFunc
 }
 
 // New returns clients that open connections with dial, or with a net.Dialer when it is nil. wrap may put a round tripper
 // around the one that keeps connections; nil leaves it.
-func New(dial DialFunc, wrap func(http.RoundTripper) http.RoundTripper) *Clients {
+func New(dial forward.DialFunc, wrap func(http.RoundTripper) http.RoundTripper) *Clients {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: peerDialTimeout}).DialContext
+		dial = (&net.Dialer{}).DialContext
 	}
+	dial = forward.DialWithin(peerDialTimeout, dial)
 	var kept http.RoundTripper = &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: peerIdleConns,
