Log members lost, reached again, ejected and returned, and how failed attempts go on

Only counters told of these changes of belief, so that from a request's id one could see the failed send but neither why no other followed nor how a repeated request ended. 'request failed' now names what kept another attempt from being made, and a request that was sent again is answered with a line even when it is not in the sample. Counters retry.denied.<reason> name each bar, not only budget and body.

--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -98,14 +98,21 @@
 	case OK:
 		of.health = health{}
 		of.health.answered(p.serviceTime(of, result))
-		if !p.worse(of) {
+		if usual, known := p.usual(of); !known || !of.health.worseThan(usual) {
 			of.ejection.end(now)
 			p.count("returned")
+			p.logReturn(of, "trial")
 			return
 		}
 	}
+	p.eject(of, "ejected-again", now)
+}
+
+// eject leaves the member out of the choice for some time.
+func (p *Pool) eject(of *peer, event string, now time.Time) {
 	of.ejection.begin(now)
-	p.count("ejected-again")
+	p.count(event)
+	p.logEjection(of)
 }
 
 // review ejects the member when it is much worse than its peers.
@@ -113,19 +120,21 @@
 	if of.ejection.ejected {
 		return
 	}
-	if of.health.answers < minAnswers || !p.worse(of) {
+	if of.health.answers < minAnswers {
+		return
+	}
+	if usual, known := p.usual(of); !known || !of.health.worseThan(usual) {
 		return
 	}
 	if ejected, members := p.ejected(); 3*(ejected+1) > members {
 		p.count("ejection-limit")
 		return
 	}
-	of.ejection.begin(now)
-	p.count("ejected")
+	p.eject(of, "ejected", now)
 }
 
-// worse compares the member with the median of the other members that are in use.
-func (p *Pool) worse(of *peer) bool {
+// usual is the median health of the other members that are in use. It reports false while none has enough answers.
+func (p *Pool) usual(of *peer) (health, bool) {
 	var latencies, failures []float64
 	for _, other := range p.peers {
 		if other != of && !other.ejection.ejected && other.health.answers >= minAnswers {
@@ -134,11 +143,14 @@
 		}
 	}
 	if len(latencies) == 0 {
-		return false
+		return health{}, false
 	}
-	slow := of.health.latency > ejectLatencyRatio*median(latencies)
-	failing := of.health.failures > median(failures)+ejectFailures
-	return slow || failing
+	return health{latency: median(latencies), failures: median(failures)}, true
+}
+
+// worseThan reports whether the member is much slower than usual or fails much more often.
+func (h *health) worseThan(usual health) bool {
+	return h.latency > ejectLatencyRatio*usual.latency || h.failures > usual.failures+ejectFailures
 }
 
 // ejected counts the ejected members and those that don't drain.
@@ -165,6 +177,7 @@
 		if member.ejection.ejected && !member.gone() {
 			member.ejection.end(now)
 			p.count("ejection-limit")
+			p.logReturn(member, "too many ejected")
 		}
 	}
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -161,7 +161,7 @@
 	}
 	switch result.Class {
 	case OK:
-		of.reach = reach{checking: of.reach.checking}
+		p.change(of, "answer", func() { of.reach = reach{checking: of.reach.checking} })
 		of.refusedUntil, of.failedUntil = time.Time{}, time.Time{}
 		of.health.answered(p.serviceTime(of, result))
 		p.review(of, now)
@@ -173,7 +173,7 @@
 		of.refused(result.Reason, now)
 	case Failed:
 		if p.config.Reach != nil {
-			of.reach.failed(result.Reason, now)
+			p.change(of, string(result.Reason), func() { of.reach.failed(result.Reason, now) })
 		}
 		of.failedUntil = now.Add(failureAvoidance)
 		of.health.failed()
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -85,13 +85,5 @@
 	reached := p.config.Reach(ctx, member)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wasLost := of.reach.lost
-	of.reach.checked(reached, p.config.Clock())
-	if of.reach.lost != wasLost {
-		if of.reach.lost {
-			p.count("lost")
-		} else {
-			p.count("reached-again")
-		}
-	}
+	p.change(of, "check", func() { of.reach.checked(reached, p.config.Clock()) })
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -41,6 +41,8 @@
 	tried      []string // ids of members that were sent an attempt
 	slow       []string // ids of those that refused because their target is slow; len is the number of moves
 	stay       bool     // the next target keeps the call also when it is slow
+	repeated   bool     // a failed attempt was followed by another
+	ending     bar      // why the last failed attempt was not
 }
 
 // newCall checks the request against the service list.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -11,10 +11,11 @@
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
-// logAnswer writes that a request got a target's answer, for a sample of the requests.
+// logAnswer writes that a request got a target's answer: for a sample of the requests, and for those with a line about a
+// failed attempt, whose end is else not told.
 func (h *Handler) logAnswer(c *call, final result) {
 	id := c.request.Header.Get(h.config.RequestID)
-	if !telemetry.Sampled(id) {
+	if !telemetry.Sampled(id) && !c.repeated {
 		return
 	}
 	klog.InfoS("request answered", "request", id, "service", c.service.Name, "list", c.snapshot.List.Version,
@@ -43,6 +44,12 @@
 func (h *Handler) logFailure(c *call, failed *failure.Error) {
 	klog.InfoS("request failed", "request", c.request.Header.Get(h.config.RequestID), "service", c.service.Name,
 		"list", c.snapshot.List.Version, "members", len(c.snapshot.Members[c.service.Name]), "sends", c.sends,
-		"moves", len(c.slow), "reached", c.reached, "reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
+		"moves", len(c.slow), "reached", c.reached, "not_repeated", c.ending, "reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
 		"left", c.left().Round(time.Millisecond))
 }
+
+// logHedge writes that a slow call is sent to a second member too.
+func (h *Handler) logHedge(c *call) {
+	klog.InfoS("hedge sent", "request", c.request.Header.Get(h.config.RequestID), "service", c.service.Name,
+		"list", c.snapshot.List.Version, "members", c.tried, "left", c.left().Round(time.Millisecond))
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -40,8 +40,12 @@
 				return one
 			}
 			c.allowAgain(one)
-			if h.mayRepeat(c, policy, one) && h.relaunch(ctx, c, policy, ended) == nil {
-				pending++
+			if h.mayRepeat(c, policy, one) {
+				if h.relaunch(ctx, c, policy, ended) == nil {
+					pending++
+				} else {
+					c.ending = barNoOtherChoice
+				}
 			}
 			if pending == 0 {
 				return one
@@ -96,6 +100,7 @@
 		return false
 	}
 	h.config.Metrics.Counter("hedge.sent").Inc(1)
+	h.logHedge(c)
 	return true
 }
 
@@ -127,21 +132,51 @@
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
 		c.reached++
 	}
-	if h.stopped.Err() != nil || !repeatable(c, failed) || c.sends >= maxSends || c.reached >= c.maxReached() || c.left() <= 0 {
-		return false
-	}
-	if !c.body.replayable() {
-		h.config.Metrics.Counter("retry.denied.body-not-replayable").Inc(1)
-		return false
-	}
-	if !reachedNoTarget(failed) && !policy.retry.Spend() {
-		h.config.Metrics.Counter("retry.denied.budget").Inc(1)
+	c.ending = h.repeatBar(c, policy, failed)
+	if c.ending != "" {
+		h.config.Metrics.Counter("retry.denied." + string(c.ending)).Inc(1)
 		return false
 	}
+	c.repeated = true
 	h.config.Metrics.Retried(failed.Reason)
 	return true
 }
 
+// bar is why a failed attempt is not followed by another; empty: it may be.
+type bar string
+
+const (
+	barStopping      bar = "stopping"            // this node stops
+	barUnsafe        bar = "not-repeatable"      // the failure's outcome or the kind of call forbids it
+	barSends         bar = "max-sends"           // maxSends is used up
+	barAttempts      bar = "max-attempts"        // as many targets as the rule allows may have run the call
+	barDeadline      bar = "deadline"            // no time is left
+	barBody          bar = "body-not-replayable" // the body was streamed
+	barBudget        bar = "budget"              // the service's retry budget is used up
+	barNoOtherChoice bar = "no-member"           // no member is left to choose
+)
+
+// repeatBar tells what keeps a failed attempt from being followed by another. It takes the other from the budget.
+func (h *Handler) repeatBar(c *call, policy *Policy, failed *failure.Error) bar {
+	switch {
+	case h.stopped.Err() != nil:
+		return barStopping
+	case !repeatable(c, failed):
+		return barUnsafe
+	case c.sends >= maxSends:
+		return barSends
+	case c.reached >= c.maxReached():
+		return barAttempts
+	case c.left() <= 0:
+		return barDeadline
+	case !c.body.replayable():
+		return barBody
+	case !reachedNoTarget(failed) && !policy.retry.Spend():
+		return barBudget
+	}
+	return ""
+}
+
 // mayMove decides whether a call leaves a target that is slow. It put no load on that target, so it is no retry.
 func (h *Handler) mayMove(c *call, from string) bool {
 	c.sends--
