Offer calls that their region refuses to free slots of another region

Cause: both users have unequal regions, three of five workers of a service against two, with half of the consumers at the two.

Kept: two refusals close, one answer opens.

A call that all members of its region refused, without having run, goes to at most two members elsewhere, which take it into a free slot only.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -154,6 +154,11 @@
 		g.mu.Unlock()
 		return slot, nil
 	}
+	if w.Overflow && !held {
+		refused := g.comeBack(failure.New(failure.QueueFull, failure.NotRun, "no slot is free for a request of another region"))
+		g.mu.Unlock()
+		return nil, refused
+	}
 	// A request that waits for a slot stays: the targets elsewhere are as full.
 	w.movable = w.Movable && !w.Alone && held
 	if w.movable && !g.pace.stale(now) { // so it is slow
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -19,6 +19,9 @@
 	// Movable tells that the sender has other targets to try. Such a request is refused instead of waiting while the target
 	// is slow.
 	Movable bool
+	// Overflow tells that the request comes from a region that has no room for it. It gets a slot that is free, and is refused
+	// where it would wait.
+	Overflow bool
 }
 
 // waiter is a queued request.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,6 +26,9 @@
 	Avoid string
 	// Region limits the choice to members of that region; empty means no limit. Keyed calls set the home region.
 	Region string
+	// Overflow asks for a member of another region for a call that the own region refused. Such calls are only taken while
+	// the other regions have room.
+	Overflow bool
 	// Now is the time of the pick; the zero value means the balancer's clock.
 	Now time.Time
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -7,6 +7,9 @@
 
 // choose returns the member for the request, or nil, and the time in seconds that its answer is expected to take.
 func (p *Pool) choose(request *Request, now time.Time) (*peer, float64) {
+	if request.Overflow {
+		return p.chooseOverflow(request, now)
+	}
 	p.survey(now)
 	allowed := p.allowed[:0]
 	healthy := p.healthy[:0]
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -20,6 +20,7 @@
 	peers  []*peer    // replaced whole by Update, sorted by id
 	random *rand.Rand
 
+	overflow  overflow
 	fleet     fleet
 	overdueAt float64 // see overdue
 	probes    prober
@@ -159,6 +160,9 @@
 		}
 		of.observe(*result.Sample, at)
 	}
+	if of.distance == otherRegion {
+		p.overflow.ended(result, now)
+	}
 	switch result.Class {
 	case OK:
 		p.change(of, "answer", func() { of.reach = reach{checking: of.reach.checking} })
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,7 @@
 	sends      int           // sends of the call with this one
 	stay       bool          // the node keeps the call also when its target is slow
 	grant      *grantHeaders // keyed calls only
+	overflow   bool          // the node may only use a slot that is free
 	generation *forward.Generation
 	cancel     context.CancelFunc
 	started    time.Time
@@ -122,7 +123,10 @@
 	if rule := a.call.rule; rule != nil {
 		header.Set(wire.Rank, wire.FormatRank(rule.Name, rule.Priority, a.call.aimLeft()))
 	}
-	if a.stay {
+	switch {
+	case a.overflow:
+		header.Set(wire.Overflow, "1")
+	case a.stay:
 		header.Set(wire.Stay, "1")
 	}
 	if a.member.Region != a.call.snapshot.Self.Region {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -41,6 +41,8 @@
 	tried      []string // ids of members that were sent an attempt
 	slow       []string // ids of those that refused because their target is slow; len is the number of moves
 	stay       bool     // the next target keeps the call also when it is slow
+	overflows  int      // members of other regions that were offered the call because its own refused it
+	home       *result  // the refusal of the own region before that; nil: none
 	repeated   bool     // a failed attempt was followed by another
 	ending     bar      // why the last failed attempt was not
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -108,6 +109,12 @@
 }
 
 func newFixture(t *testing.T, nodes int, target http.HandlerFunc) *fixture {
+	t.Helper()
+	return newFixtureIn(t, slices.Repeat([]string{"r"}, nodes), target)
+}
+
+// newFixtureIn starts a node in each of the regions; the entry node is in region r.
+func newFixtureIn(t *testing.T, regions []string, target http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{network: &silentNet{}, metrics: telemetry.New()}
 	service := &servicelist.Service{
@@ -119,13 +126,15 @@
 		List:    &servicelist.List{Version: 1, Services: map[string]*servicelist.Service{"orders": service}, Measuring: servicelist.Measuring{RegionBytesPerSecond: 14000, LinkBytesPerSecond: 1000}},
 		Members: map[string][]cluster.Member{},
 	}
-	for i := range nodes {
-		snapshot.Members["orders"] = append(snapshot.Members["orders"], f.startNode(t, fmt.Sprintf("n%d@1", i), snapshot, target))
+	for i, region := range regions {
+		self := cluster.Member{ID: fmt.Sprintf("n%d@1", i), Service: "orders", Zone: "a", Region: region}
+		snapshot.Members["orders"] = append(snapshot.Members["orders"], f.startNode(t, self, snapshot, target))
 	}
 	transport := forward.New(forward.Config{Dial: f.network.dial, Metrics: f.metrics})
 	policies := NewPolicies(PoliciesConfig{
 		Self: snapshot.Self, Bytes: budget.NewBytes(budget.Limits{}, nil), Transport: transport, Metrics: f.metrics,
-		Reach: func(context.Context, cluster.Member) bool { return !f.cutOff.Load() },
+		Reach:        func(context.Context, cluster.Member) bool { return !f.cutOff.Load() },
+		StayInRegion: true,
 	})
 	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	f.handler = New(Config{
@@ -149,12 +158,12 @@
 	return f
 }
 
-func (f *fixture) startNode(t *testing.T, id string, snapshot *cluster.Snapshot, target http.HandlerFunc) cluster.Member {
+func (f *fixture) startNode(t *testing.T, self cluster.Member, snapshot *cluster.Snapshot, target http.HandlerFunc) cluster.Member {
 	t.Helper()
 	backend := httptest.NewServer(f.counted(target))
 	f.targets = append(f.targets, backend)
 	own := *snapshot
-	own.Self = cluster.Member{ID: id, Service: "orders", Zone: "a", Region: "r"}
+	own.Self = self
 	node := inbound.New(inbound.Config{Self: own.Self, View: cluster.NewView(&own), TargetAddr: backend.Listener.Addr().String(), Metrics: f.metrics})
 	twirp := rpc.NewAttemptsServer(node)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -19,7 +19,7 @@
 // nodeHeaders are for nodes only.
 var nodeHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
-	wire.RosterVersion, wire.NotAfter, wire.Rank, wire.Stay,
+	wire.RosterVersion, wire.NotAfter, wire.Rank, wire.Stay, wire.Overflow,
 }
 
 // stream passes a node's answer on to the caller. When the answer breaks off it aborts the caller's connection, so that
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -40,20 +40,27 @@
 				return one
 			}
 			c.allowAgain(one)
-			if h.mayRepeat(c, policy, one) {
-				if h.relaunch(ctx, c, policy, ended) == nil {
-					pending++
-				} else {
-					c.ending = barNoOtherChoice
-				}
+			if h.again(ctx, c, policy, one, ended) {
+				pending++
 			}
 			if pending == 0 {
-				return one
+				return c.refusedAtHome(one)
 			}
 		}
 	}
 }
 
+// again follows a failed attempt by another, when one is allowed and can be sent.
+func (h *Handler) again(ctx context.Context, c *call, policy *Policy, failed result, ended chan<- result) bool {
+	if h.mayRepeat(c, policy, failed) {
+		if h.relaunch(ctx, c, policy, ended) == nil {
+			return true
+		}
+		c.ending = barNoOtherChoice
+	}
+	return h.mayOverflow(c, failed) && h.launchOverflow(ctx, c, policy, ended) == nil
+}
+
 // closeLate drops the answers of attempts that lost against the hedge or its first.
 func closeLate(ended chan result, pending int) {
 	if pending == 0 {
@@ -70,11 +77,16 @@
 
 // launch picks a target and starts an attempt in the background.
 func (h *Handler) launch(ctx context.Context, c *call, policy *Policy, ended chan<- result) *failure.Error {
-	pick, err := policy.balancer.Pick(balance.Request{Exclude: c.tried})
+	return h.launchFor(ctx, c, policy, balance.Request{Exclude: c.tried}, ended)
+}
+
+func (h *Handler) launchFor(ctx context.Context, c *call, policy *Policy, request balance.Request, ended chan<- result) *failure.Error {
+	pick, err := policy.balancer.Pick(request)
 	if err != nil {
 		return asFailure(err)
 	}
 	started := h.newAttempt(c, pick)
+	started.overflow = request.Overflow
 	go func() { ended <- h.observed(c, pick, started.run(ctx)) }()
 	return nil
 }
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -12,7 +12,7 @@
 // innerRequest headers are for this node and not for the target.
 var innerRequest = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner, wire.RosterVersion,
-	wire.NotAfter, wire.TimeoutMS, wire.Rank, wire.Stay,
+	wire.NotAfter, wire.TimeoutMS, wire.Rank, wire.Stay, wire.Overflow,
 }
 
 // innerAnswer headers are set by nodes only: with them a target could claim that a request was not run.
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -47,7 +47,8 @@
 	if in.url = originalURL(r.URL); in.url == nil {
 		return nil, notRun(failure.BadRequest, "path %q does not start with %s", r.URL.Path, wire.ForwardPath)
 	}
-	in.rank = admission.Request{Deadline: in.deadline, Movable: r.Header.Get(wire.Stay) == ""}
+	in.rank = admission.Request{Deadline: in.deadline, Movable: r.Header.Get(wire.Stay) == "",
+		Overflow: r.Header.Get(wire.Overflow) != ""}
 	if text := r.Header.Get(wire.Rank); text != "" {
 		kind, priority, aim, err := wire.ParseRank(text)
 		if err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,7 @@
 	RosterVersion = "Acacialock-Roster"      // roster version of the grant
 	Rank          = "Acacialock-Rank"        // kind, priority and time left for an answer of full worth; see FormatRank
 	Stay          = "Acacialock-Stay"        // "1" when the entry node has no other target to try
+	Overflow      = "Acacialock-Overflow"    // "1" when the attempt may only take a slot that is free
 	Link          = "Acacialock-Link"        // "1" when the message crosses the paid link between regions
 )
 
