Requests leave targets that fail most of what they run

Ruled out: failed calls inside calls (the service that they call served on in those seconds); ejection at each entry node (ten results each at 62 nodes are 1,860 lost requests before the last one knows).

The node beside the target sees all results. When half of the last ten failed, it refuses requests that have other targets, which have not run, but for trials. When no other is left a request runs.

TestNonIdempotentRequestIsSentOnce starts a node for each case now, as one whose target broke half of its requests sends the next one elsewhere; its checks are the same.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,6 +47,7 @@
 	draining bool
 	idle     chan struct{} // closed when nothing is in flight or queued; nil when nobody waits
 
+	failing     failing
 	pace        pace
 	readPace    func() (factor float64, ok bool) // nil: requests start at any pace
 	readingPace bool                             // a reading is under way or due
@@ -147,6 +148,10 @@
 		g.mu.Unlock()
 		return nil, refused
 	}
+	if w.Movable && !w.Alone && g.failing.refuses(now) {
+		g.mu.Unlock()
+		return nil, failsNow()
+	}
 	g.aloneHas = g.aloneHas || w.Alone
 	held := g.heldByPace(w, now)
 	if len(g.queue.waiters) == 0 && g.free(w.Alone) && !held {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -17,7 +17,7 @@
 	// Alone asks for a slot with no other request at the target.
 	Alone bool
 	// Movable tells that the sender has other targets to try. Such a request is refused instead of waiting while the target
-	// is slow.
+	// is slow, and instead of running while the target fails most requests.
 	Movable bool
 	// Overflow tells that the request comes from a region that has no room for it. It gets a slot that is free, and is refused
 	// where it would wait.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -213,6 +213,8 @@
 		p.failedUntil = now.Add(failureAvoidance)
 	case failure.TargetSlow:
 		p.refusedUntil = now.Add(slowAvoidance)
+	case failure.TargetFailing:
+		p.refusedUntil = now.Add(failureAvoidance)
 	case failure.QueueFull, failure.DeadlineUnreachable, failure.LedgerFull:
 		p.refusedUntil = now.Add(refusalAvoidance)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,7 +29,7 @@
 	member     cluster.Member
 	doubt      func()        // tells the balancer that the member's node doesn't answer; see balance.Pick
 	sends      int           // sends of the call with this one
-	stay       bool          // the node keeps the call also when its target is slow
+	stay       bool          // the node keeps the call also when its target is slow or fails
 	grant      *grantHeaders // keyed calls only
 	overflow   bool          // the node may only use a slot that is free
 	generation *forward.Generation
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -39,8 +39,8 @@
 	sends      int      // sends so far, over all layers
 	reached    int      // sends that a target may have seen
 	tried      []string // ids of members that were sent an attempt
-	slow       []string // ids of those that refused because their target is slow; len is the number of moves
-	stay       bool     // the next target keeps the call also when it is slow
+	slow       []string // ids of those that refused because their target is slow or fails; len is the number of moves
+	stay       bool     // the next target keeps the call also when it is slow or fails
 	overflows  int      // members of other regions that were offered the call because its own refused it
 	home       *result  // the refusal of the own region before that; nil: none
 	repeated   bool     // a failed attempt was followed by another
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -32,7 +32,7 @@
 // logAttempt writes how a send failed. A move to another target is plain: a third of all sends may be one.
 func (h *Handler) logAttempt(c *call, pick balance.Pick, failed *failure.Error) {
 	id := c.request.Header.Get(h.config.RequestID)
-	if failed.Reason == failure.TargetSlow && !telemetry.Sampled(id) {
+	if failed.Reason.Move() && !telemetry.Sampled(id) {
 		return
 	}
 	klog.InfoS("attempt failed", "request", id, "member", pick.Member.ID,
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	switch failed.Reason {
-	case failure.QueueFull, failure.DeadlineUnreachable, failure.TargetSlow:
+	case failure.QueueFull, failure.DeadlineUnreachable, failure.TargetSlow, failure.TargetFailing:
 	default:
 		return false
 	}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -138,8 +138,8 @@
 // mayRepeat decides whether a failed attempt is followed by another and takes it from the budget.
 func (h *Handler) mayRepeat(c *call, policy *Policy, ended result) bool {
 	failed := ended.failed
-	if failed.Reason == failure.TargetSlow {
-		return h.mayMove(c, ended.member)
+	if failed.Reason.Move() {
+		return h.mayMove(c, ended)
 	}
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
 		c.reached++
@@ -189,14 +189,14 @@
 	return ""
 }
 
-// mayMove decides whether a call leaves a target that is slow. It put no load on that target, so it is no retry.
-func (h *Handler) mayMove(c *call, from string) bool {
+// mayMove decides whether a call leaves a target that is slow or fails. It put no load on that target, so it is no retry.
+func (h *Handler) mayMove(c *call, from result) bool {
 	c.sends--
-	c.slow = append(c.slow, from)
+	c.slow = append(c.slow, from.member)
 	if h.stopped.Err() != nil || c.left() <= 0 || !c.body.replayable() {
 		return false
 	}
-	h.config.Metrics.Counter("move.target-slow").Inc(1)
+	h.config.Metrics.Counter("move." + string(from.failed.Reason)).Inc(1)
 	return true
 }
 
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -40,8 +40,9 @@
 	TargetBroke         Reason = "target-connection-broke"
 	TargetShed          Reason = "target-shed"
 	NoLocalTarget       Reason = "no-local-target"
-	WrongTarget         Reason = "wrong-target" // another target has the address
-	TargetSlow          Reason = "target-slow"  // other targets are worth a try
+	WrongTarget         Reason = "wrong-target"   // another target has the address
+	TargetSlow          Reason = "target-slow"    // other targets are worth a try
+	TargetFailing       Reason = "target-failing" // it fails most requests; others are worth a try
 
 	// Calls with an Idempotency-Key.
 	BadKey             Reason = "bad-idempotency-key"
@@ -77,3 +78,6 @@
 	AnswerNotKept:       http.StatusConflict,
 	Quarantined:         http.StatusUnprocessableEntity,
 }
+
+// Move reports whether the reason sends a request that has not run on to another target.
+func (r Reason) Move() bool { return r == TargetSlow || r == TargetFailing }
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -169,16 +169,22 @@
 	}
 	answer, err := transport.RoundTrip(request)
 	if err != nil {
-		return e.failedBeforeAnswer(ctx, err)
+		failed := e.failedBeforeAnswer(ctx, err)
+		e.handler.noteFailure(failed)
+		return failed
 	}
 	defer answer.Body.Close()
 	e.handler.notePace(answer)
 	if refused := e.check(request, answer); refused != nil {
+		e.handler.noteFailure(refused)
 		return refused
 	}
 	if err := e.readAhead(answer); err != nil {
-		return e.ended(ctx, err)
+		failed := e.ended(ctx, err)
+		e.handler.noteFailure(failed)
+		return failed
 	}
+	e.handler.noteStatus(answer.StatusCode)
 	e.answer(ctx, answer)
 	return nil
 }
--- a/internal/inbound/log.go
+++ b/internal/inbound/log.go
@@ -12,7 +12,7 @@
 // logRefusal writes why a request was not served and the load at that time. That one moves on from a slow target is plain.
 func (h *Handler) logRefusal(r *http.Request, failed *failure.Error) {
 	id := r.Header.Get(h.config.RequestID)
-	if failed.Reason == failure.TargetSlow && !telemetry.Sampled(id) {
+	if failed.Reason.Move() && !telemetry.Sampled(id) {
 		return
 	}
 	load := h.gate.Sample()
--- a/internal/inbound/stream_test.go
+++ b/internal/inbound/stream_test.go
@@ -164,7 +164,6 @@
 			panic(http.ErrAbortHandler) // closes the connection without an answer
 		}
 	})
-	one := startNode(t, addr, func(c *Config) { c.Gate = &openGate{} })
 	for _, c := range []call{
 		{method: "POST", path: "/once"},
 		{method: "POST", path: "/once", body: strings.NewReader("lot")},
@@ -173,6 +172,8 @@
 		{method: "DELETE", path: "/once", key: "c"},
 		{method: "POST", path: "/once", header: http.Header{"X-Idempotency-Key": {"d"}}},
 	} {
+		// A node of its own for each, since one whose target broke half of its requests sends them elsewhere.
+		one := startNode(t, addr, func(c *Config) { c.Gate = &openGate{} })
 		one.send(context.Background(), call{method: "POST", path: "/warm"}) // opens the connection
 		count.Store(0)
 		broken := one.send(context.Background(), c)
