A stopping node serves its target a while longer

Cause: a roll of our own nodes took each target out for the 3 s in which callers may still come, although the worker went on running.

When the target stays, the node sends it new requests for 1.5 s after SIGTERM (a quarter of the drain timeout at most); the stop takes no longer, and requests in flight have 3.5 s of the shortest grace time of 6 s. A target that left gets none, as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/acacialock/acacialock/internal/serving"
 	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/timing"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -60,6 +61,12 @@
 	// callersLeave is the time that callers may go on to arrive after the node stopped being ready: two questions a second
 	// apart, and one in flight.
 	callersLeave = 3 * time.Second
+	// targetServes is the time that a stopping node goes on to send new requests to its target, when that stays. Refusing at once
+	// took each target out for 3 s of a roll. It is half of callersLeave, which a node waits anyway, and leaves 3.5 s of the
+	// shortest drain timeout of the platforms, 6 s, for requests in flight.
+	targetServes = 1500 * time.Millisecond
+	// targetShare is the part of the drain timeout that targetServes may take at most.
+	targetShare = 4
 	// exitMargin is left of the drain timeout for the end of the process.
 	exitMargin = 700 * time.Millisecond
 	// answerMargin is left before that for the answers of calls that are given up because the node stops. It covers a
@@ -229,12 +236,11 @@
 	}
 }
 
-// drain refuses work for the local target, serves callers until they have left, and finishes what is in flight.
+// drain serves the local target a while longer and callers until they have left, and finishes what is in flight.
 func (n *Node) drain() error {
 	started := time.Now()
 	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.left())
 	n.draining.Store(true)
-	n.target.stop()
 	n.directory.StopServing()
 	end := started.Add(n.settings.Drain() - exitMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -242,11 +248,11 @@
 	n.entry.StopBy(end.Add(-answerMargin))
 	if n.target.left() {
 		n.leave()
+	} else {
+		_ = timing.Sleep(ctx, min(targetServes, n.settings.Drain()/targetShare)) // the end of ctx ends the drain below
 	}
-	select {
-	case <-time.After(callersLeave - time.Since(started)):
-	case <-ctx.Done():
-	}
+	n.target.stop()
+	_ = timing.Sleep(ctx, callersLeave-time.Since(started))
 	failed := n.servers.Shutdown(ctx)
 	klog.InfoS("stopped", "node", n.self.ID, "after", time.Since(started).Round(time.Millisecond), "complete", failed == nil)
 	return failed
