--- a/internal/admission/failing.go
+++ b/internal/admission/failing.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// failWindow is the number of last results by which a target is judged. With three workers of 27 that failed all for 7 s,
-	// entry nodes that judged alone needed ten results each: 600 lost requests of 60 nodes.
+	// failWindow is the number of last results by which a target is judged. The target's node sees all of them; 60 entry nodes
+	// that judge by ten results of their own lose 600 requests first.
 	failWindow = 10
 	// failLimit is the number of failures in the window from which a target fails. Targets that work fail one in 250.
 	failLimit = 5
-	// failRecovery is the number of trials in a row that must succeed before the target gets all requests again.
+	// failRecovery is the number of successes in a row after which the target gets all requests again. One alone is likely at a
+	// target that fails every other request.
 	failRecovery = 2
 	// firstTrial and lastTrial bound the time between two trials of a failing target; it doubles.
 	firstTrial = 100 * time.Millisecond
@@ -27,10 +28,10 @@
 // refused before they run, but for single trials. When all targets fail, for example because a service that they call does,
 // none is left to try and requests run as before.
 type failing struct {
-	results uint16 // one bit a result, the newest lowest; 1: failed
-	state   bool   // the target fails
-	passed  int    // trials in a row that succeeded
-	nextAt  time.Time
+	results uint16    // one bit a result, the newest lowest; 1: failed
+	state   bool      // the target fails
+	passed  int       // successes in a row since it fails
+	nextAt  time.Time // of the next trial
 	pause   time.Duration
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -44,7 +44,7 @@
 	overflows  int      // members of other regions that were offered the call because its own refused it
 	home       *result  // the refusal of the own region before that; nil: none
 	repeated   bool     // a failed attempt was followed by another
-	ending     bar      // why the last failed attempt was not
+	denied     denial   // why the last failed attempt was not
 }
 
 // newCall checks the request against the service list.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -19,7 +19,8 @@
 		return
 	}
 	klog.InfoS("request answered", "request", id, "service", c.service.Name, "list", c.snapshot.List.Version,
-		"member", final.member, "sends", c.sends, "moves", len(c.slow), "overflows", c.overflows, "status", final.response.StatusCode,
+		"member", final.member, "sends", c.sends, "moves", len(c.slow), "overflows", c.overflows,
+		"status", final.response.StatusCode,
 		"first_byte_after", final.latency.Round(time.Millisecond), "left", c.left().Round(time.Millisecond))
 }
 
@@ -44,7 +45,8 @@
 func (h *Handler) logFailure(c *call, failed *failure.Error) {
 	klog.InfoS("request failed", "request", c.request.Header.Get(h.config.RequestID), "service", c.service.Name,
 		"list", c.snapshot.List.Version, "members", len(c.snapshot.Members[c.service.Name]), "sends", c.sends,
-		"moves", len(c.slow), "overflows", c.overflows, "reached", c.reached, "not_repeated", c.ending, "reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
+		"moves", len(c.slow), "overflows", c.overflows, "reached", c.reached, "not_repeated", c.denied,
+		"reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
 		"left", c.left().Round(time.Millisecond))
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -56,7 +56,7 @@
 		if h.relaunch(ctx, c, policy, ended) == nil {
 			return true
 		}
-		c.ending = barNoOtherChoice
+		c.denied = deniedNoMember
 	}
 	return h.mayOverflow(c, failed) && h.launchOverflow(ctx, c, policy, ended) == nil
 }
@@ -144,9 +144,9 @@
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
 		c.reached++
 	}
-	c.ending = h.repeatBar(c, policy, failed)
-	if c.ending != "" {
-		h.config.Metrics.Counter("retry.denied." + string(c.ending)).Inc(1)
+	c.denied = h.repeatDenial(c, policy, failed)
+	if c.denied != "" {
+		h.config.Metrics.Counter("retry.denied." + string(c.denied)).Inc(1)
 		return false
 	}
 	c.repeated = true
@@ -154,37 +154,37 @@
 	return true
 }
 
-// bar is why a failed attempt is not followed by another; empty: it may be.
-type bar string
+// denial is why a failed attempt is not followed by another; empty: it may be.
+type denial string
 
 const (
-	barStopping      bar = "stopping"            // this node stops
-	barUnsafe        bar = "not-repeatable"      // the failure's outcome or the kind of call forbids it
-	barSends         bar = "max-sends"           // maxSends is used up
-	barAttempts      bar = "max-attempts"        // as many targets as the rule allows may have run the call
-	barDeadline      bar = "deadline"            // no time is left
-	barBody          bar = "body-not-replayable" // the body was streamed
-	barBudget        bar = "budget"              // the service's retry budget is used up
-	barNoOtherChoice bar = "no-member"           // no member is left to choose
+	deniedStopping denial = "stopping"            // this node stops
+	deniedUnsafe   denial = "not-repeatable"      // the failure's outcome or the kind of call forbids it
+	deniedSends    denial = "max-sends"           // maxSends is used up
+	deniedAttempts denial = "max-attempts"        // as many targets as the rule allows may have run the call
+	deniedDeadline denial = "deadline"            // no time is left
+	deniedBody     denial = "body-not-replayable" // the body was streamed
+	deniedBudget   denial = "budget"              // the service's retry budget is used up
+	deniedNoMember denial = "no-member"           // no member is left to choose
 )
 
-// repeatBar tells what keeps a failed attempt from being followed by another. It takes the other from the budget.
-func (h *Handler) repeatBar(c *call, policy *Policy, failed *failure.Error) bar {
+// repeatDenial tells what keeps a failed attempt from being followed by another. It takes the other from the budget.
+func (h *Handler) repeatDenial(c *call, policy *Policy, failed *failure.Error) denial {
 	switch {
 	case h.stopped.Err() != nil:
-		return barStopping
+		return deniedStopping
 	case !repeatable(c, failed):
-		return barUnsafe
+		return deniedUnsafe
 	case c.sends >= maxSends:
-		return barSends
+		return deniedSends
 	case c.reached >= c.maxReached():
-		return barAttempts
+		return deniedAttempts
 	case c.left() <= 0:
-		return barDeadline
+		return deniedDeadline
 	case !c.body.replayable():
-		return barBody
+		return deniedBody
 	case !reachedNoTarget(failed) && !policy.retry.Spend():
-		return barBudget
+		return deniedBudget
 	}
 	return ""
 }
