Decode the roster index as internal/keys writes it

Cause: internal/control decoded the row roster-index as a flat map, internal/keys stores {"commits": {...}}. Each read failed with control.row.undecodable, so heartbeats never confirmed a roster and key owners had to read the table themselves. The test of control wrote the flat form and could not see this.

Before: TestRosterIndexIsConfirmedOnAllNodes fails, no node confirms. After: all four nodes confirm the stored commit number, row.undecodable stays 0.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -32,10 +32,10 @@
 	View    *cluster.View       // the snapshots are published here
 	Metrics *telemetry.Registry // registry of the counters "control.*"
 
-	// OnRosterConfirmed is called with the confirmed row version of the key roster of the node's own service. The table
-	// held that version at some time after asOf, a local monotonic time. It may be nil. It runs on the control
+	// OnRosterConfirmed is called with the confirmed commit number of the key roster of the node's own service. The table
+	// held that roster at some time after asOf, a local monotonic time. It may be nil. It runs on the control
 	// goroutine and must not block.
-	OnRosterConfirmed func(rowVersion uint64, asOf time.Time)
+	OnRosterConfirmed func(commit uint64, asOf time.Time)
 	// Refusals returns the number of requests that the node has refused since its start. It may be nil.
 	Refusals func() uint64
 
--- a/internal/control/list_test.go
+++ b/internal/control/list_test.go
@@ -205,9 +205,45 @@
 	a.mu.Lock()
 	a.replacedAt[a.version] = time.Now()
 	a.version++
-	index := map[string]uint64{"front": a.version}
+	index := cluster.RosterIndexRow{CommitNumbers: map[string]uint64{"front": a.version}}
 	a.mu.Unlock()
 	if err := a.system.put(cluster.RosterIndexKey, encode(index)); err != nil {
 		r.Fatal(err)
 	}
 }
+
+// Guards against a decoder of the roster index that differs from the form in which internal/keys writes it: the rosters
+// were then never confirmed by heartbeats, and each key owner had to read the table itself.
+func TestRosterIndexIsConfirmedOnAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system := newTestSystem()
+		defer system.stop()
+		confirmed := map[string]uint64{} // by member id
+		var mu sync.Mutex
+		system.onRosterConfirmed = func(p *process, commit uint64, _ time.Time) {
+			mu.Lock()
+			defer mu.Unlock()
+			confirmed[p.member.PeerAddr] = commit
+		}
+		assert.NilError(t, system.accept(1))
+		// The value is written out because it is stored data, which both packages must agree on.
+		assert.NilError(t, system.put(cluster.RosterIndexKey, []byte(`{"commits":{"front":7,"back":3}}`)))
+		names := []string{"a0", "a1", "b0", "b1"}
+		for _, name := range names {
+			system.startNode(name, "front", name[:1], names...)
+		}
+		eventually(t, 20*time.Second, "all nodes confirm commit 7", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, name := range names {
+				if confirmed[name] != 7 {
+					return false
+				}
+			}
+			return true
+		})
+		for _, p := range system.runningProcesses() {
+			assert.Equal(t, p.node.cfg.Metrics.Counter("control.row.undecodable").Count(), int64(0), p.member.ID)
+		}
+	})
+}
--- a/internal/control/respond.go
+++ b/internal/control/respond.go
@@ -54,7 +54,7 @@
 	response.Leader = true
 	response.Epoch = s.lease.lease.Epoch
 	response.IntervalMs = uint32(s.zoneHeartbeatInterval().Milliseconds())
-	response.RosterRowVersion = s.table.rosterVersions[request.GetSelf().GetService()]
+	response.RosterRowVersion = s.table.rosterCommits[request.GetSelf().GetService()]
 	response.RosterAgeMs = s.rosterAgeMs()
 	known := make(map[string]uint64, len(request.GetKnown()))
 	for _, z := range request.GetKnown() {
--- a/internal/control/scan.go
+++ b/internal/control/scan.go
@@ -131,17 +131,17 @@
 	s.scheduleListFetch(wantedListFromRow(&current))
 }
 
-// applyRosterIndex records the row that maps each service to the row version of its key roster. readAt is when the read
-// was sent.
+// applyRosterIndex records the row that maps each service to the commit number of its key roster. readAt is when the
+// read was sent.
 func (s *state) applyRosterIndex(row platform.Row, readAt time.Time) {
-	roster := map[string]uint64{}
-	if row.Version > 0 && decode(row, &roster) != nil {
+	var index cluster.RosterIndexRow
+	if row.Version > 0 && decode(row, &index) != nil {
 		s.incrementCounter("row.undecodable")
 		return
 	}
-	s.table.rosterVersions = roster
+	s.table.rosterCommits = index.CommitNumbers
 	s.table.rosterReadAt = readAt
-	s.confirmRoster(roster[s.self.Service], readAt)
+	s.confirmRoster(index.CommitNumbers[s.self.Service], readAt)
 }
 
 // pollRoster reads the roster index from the table while no leader confirms it. The allowed age grows with the
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -61,10 +61,10 @@
 
 // tableView holds the rows that a leader has read from the table.
 type tableView struct {
-	leases         map[string]cluster.LeaseRow // by zone
-	list           *cluster.ListRow
-	rosterVersions map[string]uint64 // row version of the key roster by service
-	rosterReadAt   time.Time         // when the read of the roster index was sent; zero: not read yet
+	leases        map[string]cluster.LeaseRow // by zone
+	list          *cluster.ListRow
+	rosterCommits map[string]uint64 // commit number of the key roster by service
+	rosterReadAt  time.Time         // when the read of the roster index was sent; zero: not read yet
 }
 
 func newState(ctx context.Context, n *Node) *state {
