Bound what targets, nodes and the store may send without end

Cause: response heads were read up to 10 MB, the default of net/http, from each connection. 20 targets that send header lines without end took 296 MB of heap (machines have 184 MB). Informational responses were forwarded without a limit until the next node's transport broke, so the entry blamed the node. One that arrived after the deadline wrote to the header of the refusal concurrently, which can clear its reason or end the process with a concurrent map write.

No informational response is forwarded once the exchange failed. A panic in a handler, an attempt or the list parser ends that request or list only, with a log line and a counter.

Also: a rule without a target latency sends its deadline as the soft deadline (it sent 0, which means overdue); the slot of a cancelled request that was sent stays taken for 5 ms (only requests sent twice did); forward.Config.Metrics may be nil; unused fields of soak and testnet are removed.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -106,5 +107,7 @@
 		return err
 	}
 	klog.SetOutput(sink)
+	log.SetFlags(0)
+	log.SetOutput(logsink.LibraryWriter{})
 	return nil
 }
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -15,6 +15,7 @@
 // listen opens the entry, peer and admin listeners.
 func (d *Daemon) listen() (*serving.Servers, error) {
 	return serving.Open(
+		func() { d.metrics.Counter("panic.handler").Inc(1) },
 		serving.Listener{
 			Name: "entry", Addr: d.settings.EntryAddr, Limits: d.entry.CallerLimits, DrainOnShutdown: true,
 			Handler: framing.Handler(framing.CloseConnectionsWhile(&d.draining, d.entry), d.entry.RefuseHeader),
@@ -36,7 +37,7 @@
 		rpc.NewKeysServer(d.keys),
 	}
 	for _, service := range services {
-		mux.Handle(service.PathPrefix(), d.metering.meterResponses(service))
+		mux.Handle(service.PathPrefix(), http.MaxBytesHandler(d.metering.meterResponses(service), rpc.MaxRequestBytes))
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		switch {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/forward"
 	"github.com/acacialock/acacialock/internal/rpc"
+	"github.com/acacialock/acacialock/internal/serving"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -61,6 +62,18 @@
 	err        error
 }
 
+// runRecovered is run with a panic turned into a failure: outside of the request's own goroutine it would end the process.
+func (a *attempt) runRecovered(ctx context.Context) (res result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			serving.LogPanic("attempt", cause)
+			a.handler.config.Metrics.Counter("panic.attempt").Inc(1)
+			res = result{failed: failure.New(failure.InternalError, failure.Unknown, "the attempt ended with a panic")}
+		}
+	}()
+	return a.run(ctx)
+}
+
 // run sends the attempt and waits until a response begins or the outcome is known. ctx ends at the deadline, when the
 // caller disconnects, or when another attempt of the call has won.
 func (a *attempt) run(ctx context.Context) result {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -179,10 +179,11 @@
 // remaining returns the time until the deadline; it is negative after that.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
-// softRemaining returns the time until the soft deadline; 0: it has passed or the rule sets none.
+// softRemaining returns the time until the soft deadline, or 0 if it has passed. Without a target latency an answer keeps
+// its full value until the deadline.
 func (c *call) softRemaining() time.Duration {
 	if c.softDeadline.IsZero() {
-		return 0
+		return max(0, c.remaining())
 	}
 	return max(0, time.Until(c.softDeadline))
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -90,7 +90,7 @@
 	}
 	a := h.newAttempt(c, pick)
 	a.overflow = request.Overflow
-	go func() { results <- h.reportResult(c, pick, a.run(ctx)) }()
+	go func() { results <- h.reportResult(c, pick, a.runRecovered(ctx)) }()
 	return nil
 }
 
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -23,6 +23,7 @@
 	CallerGone          Reason = "caller-gone"
 	NodeUnreachable     Reason = "node-unreachable"
 	DependencyForbidden Reason = "dependency-not-declared"
+	InternalError       Reason = "internal-error" // a defect of this node; see its log
 
 	// Reasons of the target's node.
 	Starting              Reason = "starting"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,9 @@
 	DefaultMaxIdleConnsPerNode = 64
 	DefaultUserTimeout         = 5 * time.Second
 	expectContinueTimeout      = 2 * time.Second
+	// maxResponseHeaderBytes is above what a node forwards from its target: eight informational responses and a final one
+	// of 64 KiB each. A target with longer headers thus fails at its own node, and that node is not blamed.
+	maxResponseHeaderBytes = 1 << 20
 )
 
 // DialFunc opens a connection, like net.Dialer.DialContext.
@@ -46,7 +49,7 @@
 	IdleTimeout time.Duration
 	// MaxIdleConnsPerNode is the number of idle connections kept open to each node; default 64.
 	MaxIdleConnsPerNode int
-	// Metrics receives the count of retired generations. It must not be nil: Retire would panic.
+	// Metrics receives the count of retired generations; nil discards it.
 	Metrics *telemetry.Registry
 }
 
@@ -78,6 +81,9 @@
 	if config.MaxIdleConnsPerNode == 0 {
 		config.MaxIdleConnsPerNode = DefaultMaxIdleConnsPerNode
 	}
+	if config.Metrics == nil {
+		config.Metrics = telemetry.New()
+	}
 	if config.Dial == nil {
 		config.Dial = (&net.Dialer{Control: setUserTimeout}).DialContext
 	}
@@ -102,11 +108,12 @@
 		addr:    addr,
 		retired: make(chan struct{}),
 		transport: &http.Transport{
-			DialContext:           t.config.Dial,
-			MaxIdleConnsPerHost:   t.config.MaxIdleConnsPerNode,
-			IdleConnTimeout:       t.config.IdleTimeout,
-			ExpectContinueTimeout: expectContinueTimeout,
-			DisableCompression:    true,
+			DialContext:            t.config.Dial,
+			MaxIdleConnsPerHost:    t.config.MaxIdleConnsPerNode,
+			IdleConnTimeout:        t.config.IdleTimeout,
+			ExpectContinueTimeout:  expectContinueTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 	}
 }
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -21,11 +22,21 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
+// maxInformational limits the informational responses to one request. net/http leaves this limit to the hook that
+// receives them.
+const maxInformational = 8
+
+// errTooManyInformational ends a request to a target that sends more than maxInformational informational responses.
+var errTooManyInformational = errors.New("the target sends informational responses without end")
+
 // writeInformational forwards an informational (1xx) response. It drops 100, which this node's server sends itself, and
 // 101, which is not supported.
 func (e *exchange) writeInformational(code int, header textproto.MIMEHeader) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.informational++; e.informational > maxInformational {
+		return errTooManyInformational
+	}
 	if e.headerWritten || code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return nil
 	}
@@ -37,6 +48,14 @@
 	return nil
 }
 
+// endInformational discards informational responses that arrive from now on. The transport may still receive them while
+// the refusal's header is written.
+func (e *exchange) endInformational() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.headerWritten = true
+}
+
 // writeResponse forwards the target's response, streaming header and body as they arrive. It panics with
 // http.ErrAbortHandler if the response can't be completed.
 func (e *exchange) writeResponse(ctx context.Context, response *http.Response) {
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -29,9 +29,11 @@
 	tracked          *quarantine.TrackedRequest
 	notAfter         time.Time
 	responseComplete bool // the target's response was read to its end
+	cancelled        bool // the request to the target was cancelled, by the caller or at the deadline
 
 	mu                sync.Mutex
-	headerWritten     bool // the final header was written; no informational response may follow
+	headerWritten     bool // the final header is or will be written; no informational response may follow
+	informational     int  // informational responses received
 	conn              *quarantine.Conn
 	writtenBefore     int64 // bytes written to conn before this request got it
 	sentOnEarlierConn bool  // bytes of the request were written to an earlier connection
@@ -60,10 +62,15 @@
 	defer e.attempt.MarkBroken() // no effect if another end was recorded
 	ctx, cancel := e.targetContext()
 	defer cancel()
+	defer func() { e.cancelled = ctx.Err() != nil }()
 	if e.r.ContentLength != 0 {
 		defer context.AfterFunc(ctx, e.body.interrupt)()
 	}
-	return e.forward(ctx)
+	failed := e.forward(ctx)
+	if failed != nil {
+		e.endInformational()
+	}
+	return failed
 }
 
 // admit passes the request through the quarantine, the key gate and the admission limiter, and marks it as dispatched.
@@ -140,12 +147,23 @@
 // cancellation. Without it, a target at its limit got one request too many and refused it (bench/overload at 90% load).
 const cancelReleaseDelay = 5 * time.Millisecond
 
-// releaseSlot releases the slot, after cancelReleaseDelay if the request was cancelled and had been written to an earlier
-// connection.
+// releaseDelay returns how long the slot of a request stays occupied after its end. A target that has answered completely
+// or received nothing has no cancellation to notice.
+func releaseDelay(cancelled, sent, responseComplete bool) time.Duration {
+	if cancelled && sent && !responseComplete {
+		return cancelReleaseDelay
+	}
+	return 0
+}
+
+// releaseSlot releases the slot after releaseDelay.
 func (e *exchange) releaseSlot() {
 	slot, responseComplete := e.slot, e.responseComplete
-	if e.sentOnEarlierConn && e.r.Context().Err() != nil {
-		time.AfterFunc(cancelReleaseDelay, func() { slot.Release(responseComplete) })
+	e.mu.Lock()
+	sent := e.wroteBytes()
+	e.mu.Unlock()
+	if delay := releaseDelay(e.cancelled, sent, responseComplete); delay > 0 {
+		time.AfterFunc(delay, func() { slot.Release(responseComplete) })
 		return
 	}
 	slot.Release(responseComplete)
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -110,7 +110,7 @@
 			Metrics:    config.Metrics,
 		}),
 	}
-	h.healthTransport = newHealthTransport()
+	h.healthTransport = NewHealthTransport()
 	h.limiter.SetPaceReader(h.queryPace)
 	h.limiter.SetWarmUp(config.RemainingWarmUp)
 	h.target.Store(newTargetTransport(config.TargetAddr, h.guard.Dial, DefaultConnections))
--- a/internal/inbound/pace.go
+++ b/internal/inbound/pace.go
@@ -86,9 +86,14 @@
 	return ""
 }
 
-// newHealthTransport returns the transport for pace queries. It has a connection of its own, so that its close is never
-// mistaken for a crash of the target by a request.
-func newHealthTransport() *http.Transport {
-	return &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
-		DisableCompression: true}
+// NewHealthTransport returns a transport for requests to the health path. It has a connection of its own, so that its
+// close is never mistaken for a crash of the target by a request.
+func NewHealthTransport() *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost:        1,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxTargetHeaderBytes,
+	}
 }
--- a/internal/inbound/target.go
+++ b/internal/inbound/target.go
@@ -14,6 +14,9 @@
 	// idleConnTimeout is below 5 s, the shortest keep-alive timeout common among servers, so that a request is rarely sent
 	// on a connection that the target is closing.
 	idleConnTimeout = 4 * time.Second
+	// maxTargetHeaderBytes limits a response header of the target. The default of net/http, 10 MB for each connection, would
+	// let a few targets that send headers without end exhaust the memory of the node.
+	maxTargetHeaderBytes = 64 << 10
 	// expectContinueTimeout is the time after which the body is sent to a target that ignores "Expect: 100-continue".
 	expectContinueTimeout = time.Second
 )
@@ -37,12 +40,13 @@
 		addr:        addr,
 		connections: connections,
 		transport: &http.Transport{
-			DialContext:           dial,
-			DisableCompression:    true,
-			MaxConnsPerHost:       requestConnections(connections),
-			MaxIdleConnsPerHost:   requestConnections(connections),
-			IdleConnTimeout:       idleConnTimeout,
-			ExpectContinueTimeout: expectContinueTimeout,
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxConnsPerHost:        requestConnections(connections),
+			MaxIdleConnsPerHost:    requestConnections(connections),
+			IdleConnTimeout:        idleConnTimeout,
+			ExpectContinueTimeout:  expectContinueTimeout,
+			MaxResponseHeaderBytes: maxTargetHeaderBytes,
 		},
 	}
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -21,6 +22,7 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/platform"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/serving"
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
@@ -269,7 +271,7 @@
 		if row.Key != d.config.List.Key || row.Removed {
 			continue
 		}
-		list, err := d.config.List.Parse(row.Value)
+		list, err := d.parseList(row.Value)
 		if err != nil {
 			klog.InfoS("service list rejected", "row", row.Version, "in_force", d.config.View.Load().ListVersion(), "err", err.Error())
 			d.config.Metrics.Counter("list.rejected").Inc(1)
@@ -279,6 +281,25 @@
 	}
 }
 
+// ListPanicError reports a service list whose parser panicked. The list is rejected like an invalid one.
+type ListPanicError struct{ Cause any }
+
+// Error implements error.
+func (e *ListPanicError) Error() string { return fmt.Sprintf("the parser panicked: %v", e.Cause) }
+
+// parseList parses a service list. A panic of the parser must not end the process: every node reads the same list, so all
+// would fail together and again after each restart.
+func (d *Directory) parseList(value []byte) (list *servicelist.List, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			serving.LogPanic("service list parser", cause)
+			d.config.Metrics.Counter("panic.list").Inc(1)
+			err = &ListPanicError{Cause: cause}
+		}
+	}()
+	return d.config.List.Parse(value)
+}
+
 // ReparseList schedules a new parse of the list in force, after a change of the settings that Parse uses.
 func (d *Directory) ReparseList() {
 	select {
@@ -292,7 +313,7 @@
 	if d.currentList == nil {
 		return
 	}
-	list, err := d.config.List.Parse(d.currentListText)
+	list, err := d.parseList(d.currentListText)
 	if err != nil {
 		klog.InfoS("service list not read again", "version", d.currentList.Version, "err", err.Error())
 		return
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -41,6 +41,11 @@
 	maxMeanGroupSize = 40
 	// maxAvoidedReaders bounds the number of avoided readers that are recorded; a zone has at most a few hundred nodes.
 	maxAvoidedReaders = 1000
+	// maxFrameBytes and maxFrameTime bound one frame of a reader, so that bytes without end neither fill the memory nor keep
+	// a node from reading the store itself. The largest frame holds both tables, about 1 MB for 1,200 members and a list of
+	// 69 services; the reader gives up writing a frame after relayWriteTimeout.
+	maxFrameBytes = 16 << 20
+	maxFrameTime  = relayWriteTimeout
 	// maxDecompressedBytes bounds a decompressed value. It is above the store's limit of 1 MB for a response.
 	maxDecompressedBytes = 4 << 20
 )
@@ -96,6 +101,8 @@
 	body         io.ReadCloser
 	decoder      *json.Decoder
 	silenceTimer *time.Timer
+	frameTimer   *time.Timer // runs while a frame is read
+	frameLimit   *io.LimitedReader
 	cancel       context.CancelFunc
 	firstFrame   frame
 }
@@ -103,7 +110,12 @@
 // connect opens a stream from a reader and reads its first frame.
 func (d *Directory) connect(ctx context.Context, reader cluster.Member) (*readerStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	stream := &readerStream{reader: reader, cancel: cancel, silenceTimer: time.AfterFunc(readerSilenceTimeout, cancel)}
+	stream := &readerStream{
+		reader:       reader,
+		cancel:       cancel,
+		silenceTimer: time.AfterFunc(readerSilenceTimeout, cancel),
+		frameTimer:   time.AfterFunc(maxFrameTime, cancel),
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.PeerAddr+wire.FollowPath, nil)
 	if err != nil {
 		stream.close()
@@ -121,14 +133,23 @@
 		stream.close()
 		return nil, eris.Errorf("reader responded with status %d", response.StatusCode)
 	}
-	stream.decoder = json.NewDecoder(silenceResetter{response.Body, stream.silenceTimer})
-	if err := stream.decoder.Decode(&stream.firstFrame); err != nil {
+	stream.frameLimit = &io.LimitedReader{R: silenceResetter{response.Body, stream.silenceTimer}}
+	stream.decoder = json.NewDecoder(stream.frameLimit)
+	if err := stream.readFrame(&stream.firstFrame); err != nil {
 		stream.close()
 		return nil, eris.Wrap(err, "read first frame")
 	}
 	return stream, nil
 }
 
+// readFrame waits for the next frame and decodes it. Frames follow each other within heartbeatInterval, so the time limit
+// includes the wait.
+func (s *readerStream) readFrame(next *frame) error {
+	s.frameLimit.N = maxFrameBytes
+	s.frameTimer.Reset(maxFrameTime)
+	return s.decoder.Decode(next)
+}
+
 // silenceResetter restarts the silence timer on each read.
 type silenceResetter struct {
 	io.Reader
@@ -143,6 +164,7 @@
 
 func (s *readerStream) close() {
 	s.silenceTimer.Stop()
+	s.frameTimer.Stop()
 	s.cancel()
 	if s.body != nil {
 		_ = s.body.Close() // the stream is no longer read
@@ -241,7 +263,7 @@
 		err := d.applyFrame(ctx, &next)
 		if err == nil {
 			next = frame{}
-			err = stream.decoder.Decode(&next)
+			err = stream.readFrame(&next)
 		}
 		if err == nil {
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 func (n *Node) listen() (*serving.Servers, error) {
 	callers := n.platform.CallerHandler(n.settings.Service, n.entry)
 	return serving.Open(
+		func() { n.metrics.Counter("panic.handler").Inc(1) },
 		serving.Listener{
 			Name: "entry", Addr: n.settings.EntryAddr, Limits: n.entry.CallerLimits, DrainOnShutdown: true,
 			Handler: framing.Handler(framing.CloseConnectionsWhile(&n.draining, callers), n.entry.RefuseHeader),
@@ -182,7 +183,7 @@
 		rpc.NewAttemptsServer(n.target),
 		rpc.NewQuarantineServer(n.target),
 	} {
-		mux.Handle(service.PathPrefix(), service)
+		mux.Handle(service.PathPrefix(), http.MaxBytesHandler(service, rpc.MaxRequestBytes))
 	}
 	mux.HandleFunc("GET "+wire.StatePath, n.serveState)
 	mux.Handle("GET "+wire.FollowPath, n.directory.FollowHandler())
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -167,7 +167,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
-	response, err := inbound.CheckHealth(ctx, &http.Transport{DisableKeepAlives: true}, t.node.settings.TargetAddr, service.HealthPath)
+	transport := inbound.NewHealthTransport()
+	defer transport.CloseIdleConnections()
+	response, err := inbound.CheckHealth(ctx, transport, t.node.settings.TargetAddr, service.HealthPath)
 	if err != nil {
 		klog.InfoS("target not resumed", "target", targetID, "err", err.Error())
 		return false
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -17,8 +17,31 @@
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTimeout = 90 * time.Second
 	peerIdleConns   = 2 // per node
+	// maxHeaderBytes and maxBodyBytes bound a response of another node. The largest ones transfer key records.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 64 << 20
 )
 
+// limitedTransport fails the read of a response body beyond maxBodyBytes. The stream of a reader, which has no end, is
+// limited by its frames instead.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err == nil && request.URL.Path != wire.FollowPath {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxBodyBytes)
+	}
+	return response, err
+}
+
+// CloseIdleConnections is called by http.Client.
+func (t limitedTransport) CloseIdleConnections() {
+	if closer, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
 // Clients creates twirp clients for other nodes. It is safe for concurrent use.
 type Clients struct {
 	// Pooled is the HTTP client with pooled connections.
@@ -34,23 +57,25 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	dial = forward.WithDialTimeout(peerDialTimeout, dial)
-	var pooled http.RoundTripper = &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: peerIdleConns,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
-	}
+	var pooled http.RoundTripper = limitedTransport{&http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    peerIdleConns,
+		IdleConnTimeout:        peerIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 	if wrap != nil {
 		pooled = wrap(pooled)
 	}
 	return &Clients{
 		dial:   dial,
 		Pooled: &http.Client{Transport: pooled},
-		unpooled: &http.Client{Transport: &http.Transport{
-			DialContext:        dial,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
-		}},
+		unpooled: &http.Client{Transport: limitedTransport{&http.Transport{
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}}},
 	}
 }
 
--- a/internal/platform/try.go
+++ b/internal/platform/try.go
@@ -29,6 +29,8 @@
 const (
 	maxErrorBytes = 64 << 10 // an error body that is no ErrorResponse is cut to this length in RejectedError.Message
 	idleTimeout   = 90 * time.Second
+	// maxResponseHeaderBytes bounds the header of a response of the store.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // operation holds the endpoint of an operation and the names under which counters and errors report it.
@@ -206,11 +208,12 @@
 
 func (c *Client) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         c.config.Dial,
-		MaxConnsPerHost:     c.config.Connections,
-		MaxIdleConnsPerHost: c.config.Connections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            c.config.Dial,
+		MaxConnsPerHost:        c.config.Connections,
+		MaxIdleConnsPerHost:    c.config.Connections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -4,11 +4,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/framing"
 )
@@ -40,8 +43,9 @@
 	http   *http.Server
 }
 
-// Open opens all listeners. If one can't be opened, it closes the others and returns an error.
-func Open(listeners ...Listener) (*Servers, error) {
+// Open opens all listeners. If one can't be opened, it closes the others and returns an error. onPanic is called after a
+// handler has panicked.
+func Open(onPanic func(), listeners ...Listener) (*Servers, error) {
 	s := &Servers{}
 	for _, config := range listeners {
 		socket, err := net.Listen("tcp", config.Addr)
@@ -51,7 +55,7 @@
 		}
 		opened := server{config, framing.NewListener(socket), &http.Server{
 			ConnContext: framing.ConnContext, ConnState: framing.ConnState,
-			Handler: config.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			Handler: config.recoverPanics(onPanic), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		}}
 		if config.Limits != nil {
 			opened.socket = framing.NewLimitedListener(socket, config.Limits)
@@ -61,6 +65,35 @@
 	return s, nil
 }
 
+// recoverPanics returns the handler with panics logged and counted. A panic ends only its request: the connection is
+// closed without a complete response. http.ErrAbortHandler, which ends a response on purpose, passes silently.
+func (l Listener) recoverPanics(onPanic func()) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if cause != http.ErrAbortHandler {
+				LogPanic("handler of the "+l.Name+" listener", cause)
+				onPanic()
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		l.Handler.ServeHTTP(w, r)
+	})
+}
+
+// maxStackBytes limits the part of a stack trace that is logged; the innermost frames come first.
+const maxStackBytes = 4 << 10
+
+// LogPanic logs a recovered panic with the stack of the goroutine that calls it.
+func LogPanic(where string, cause any) {
+	stack := debug.Stack()
+	klog.ErrorS(nil, "panic recovered", "where", where, "cause", fmt.Sprint(cause),
+		"stack", string(stack[:min(len(stack), maxStackBytes)]))
+}
+
 // Parts returns the servers as parts for Run. Each ends on Shutdown or Close, regardless of its context.
 func (s *Servers) Parts() []Part {
 	var parts []Part
--- a/internal/testnet/conn.go
+++ b/internal/testnet/conn.go
@@ -10,7 +10,6 @@
 type linkDirection struct {
 	mu     sync.Mutex
 	idleAt time.Time // end of the transmission of the bytes queued so far
-	bytes  int64     // bytes queued so far
 }
 
 // transmit queues n bytes and returns when their transmission ends.
@@ -22,7 +21,6 @@
 		d.idleAt = now
 	}
 	d.idleAt = d.idleAt.Add(time.Duration(float64(n) * 8 / bitsPerSecond * float64(time.Second)))
-	d.bytes += int64(n)
 	return d.idleAt
 }
 
--- a/internal/testnet/network.go
+++ b/internal/testnet/network.go
@@ -85,19 +85,6 @@
 // InDifferentRegions reports whether two places are in different regions.
 func InDifferentRegions(a, b Place) bool { return a.Region != b.Region }
 
-// BytesSent returns the number of bytes sent from one region to another so far.
-func (n *Network) BytesSent(from, to string) int64 {
-	n.mu.Lock()
-	link := n.links[[2]string{from, to}]
-	n.mu.Unlock()
-	if link == nil {
-		return 0
-	}
-	link.mu.Lock()
-	defer link.mu.Unlock()
-	return link.bytes
-}
-
 // Dialer returns a dial function for a process at a place. A dial across a partition blocks until ctx is done.
 func (n *Network) Dialer(from Place) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -145,7 +145,7 @@
 
 // FormatRank encodes the scheduling parameters of a request as "priority,soft timeout in milliseconds,kind". The kind is
 // the key by which service times are tracked. The soft timeout is the time until the soft deadline; 0 or less: it has
-// passed or there is none.
+// passed.
 func FormatRank(kind string, priority int, softTimeout time.Duration) string {
 	return fmt.Sprintf("%d,%d,%s", priority, softTimeout.Milliseconds(), kind)
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -31,8 +31,7 @@
 	idempotent bool
 	node       string
 	startedAt  time.Time
-	status     int // HTTP status, 0 without a complete response
-	complete   bool
+	status     int    // HTTP status, 0 without a complete response
 	problem    string // why the response is invalid; empty if it is valid
 	maybeSent  bool   // the request may have reached the node
 }
@@ -123,7 +122,7 @@
 	if err != nil {
 		return // a truncated response counts as no response
 	}
-	r.status, r.complete = response.StatusCode, true
+	r.status = response.StatusCode
 	r.validate(response, responseBody, fmt.Sprintf(" %s %s %s", method, path, body))
 }
 
