--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-.PHONY: help build test check demo bench generate soak
+.PHONY: help build test check fuzz demo bench generate soak
 
 SEED ?= 1
 MINUTES ?= 5
 
 help:
-	@echo "make demo [ROWS=1] | test | bench [BENCH=full] | soak [SEED=1] [MINUTES=5] | build | check | generate"
+	@echo "make demo [ROWS=1] | test | bench [BENCH=full] | soak [SEED=1] [MINUTES=5] | build | check | fuzz [FUZZTIME=2s] | generate"
 
 build:
 	go build -o bin/ ./cmd/...
@@ -12,9 +12,14 @@
 check:
 	sh scripts/check.sh
 
-test: check
+test: check fuzz
 	go run ./scripts/testrun
 
+FUZZTIME ?= 2s
+
+fuzz:
+	sh scripts/fuzz.sh $(FUZZTIME)
+
 generate:
 	go generate ./internal/rpc
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -46,3 +46,18 @@
 		assert.Equal(t, again, sample)
 	})
 }
+
+// Guards against a rank from another node that ends the process or changes when it is passed on.
+func FuzzParseRank(f *testing.F) {
+	f.Add("2,300,browse,lots")
+	f.Add("-1,-5,")
+	f.Fuzz(func(t *testing.T, text string) {
+		kind, priority, softTimeout, err := ParseRank(text)
+		if err != nil {
+			return
+		}
+		again, againPriority, againTimeout, err := ParseRank(FormatRank(kind, priority, softTimeout))
+		assert.NilError(t, err)
+		assert.Assert(t, again == kind && againPriority == priority && againTimeout == softTimeout)
+	})
+}
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Runs each fuzz test for the given time (default 2s). Inputs that fail are written to testdata/fuzz of the package.
+set -e
+time=${1:-2s}
+git ls-files '*_test.go' | xargs grep -l '^func Fuzz' | while read -r file; do
+	grep -o '^func Fuzz[A-Za-z]*' "$file" | cut -d' ' -f2 | while read -r name; do
+		go test "./$(dirname "$file")" -run '^$' -fuzz "^$name\$" -fuzztime "$time" -parallel 2
+	done
+done
+echo "fuzz: passed"
