Read the store once a region, and not while a node starts

Change: one node of a region reads the store; the best node of each group follows it and relays the tables to its group. A relay follows only a node that reads the store itself, so there is no circle. A started node waits 1.5 s (members) and 2 s (list) with its first read of changes and searches a reader 0.3 s after its start and when the ranking changes. A node that follows another than the best one tries that, or the store, again every 5 to 7.5 s. Groups have 30 nodes at most in the mean, so that the reader of a region of 400 nodes stays within 14 KB/s.

Ruled out: fewer reads by a longer wait of the list, since a store that is silent would be noticed too late.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -1,7 +1,7 @@
 // Package membership maintains a node's view of the members that nodes announce in the store, and of the service list
 // stored there. A node writes its row when the row changes and never as a heartbeat; the nodes that send requests to a
-// member detect whether it responds. One node of a zone reads the store and relays the rows to the others; large zones
-// have several such readers.
+// member detect whether it responds. One node of a region reads the store and relays the rows to one node of each group,
+// which relays them to the others; a zone is one group, a large zone several.
 package membership
 
 import (
@@ -38,6 +38,11 @@
 	// jitter of up to half of it is added.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// firstMemberRead and firstListRead are the times after a complete read at which a node without a reader reads the
+	// changes for the first time. When all nodes start together, most rows are written in the first second, and a node that
+	// knows them follows a reader before it reads the list again. A list that changes at that moment is in force 2 s later.
+	firstMemberRead = 1500 * time.Millisecond
+	firstListRead   = 2 * time.Second
 	// pausePerMember, minMemberPause and maxMemberPause determine the pause after member changes, which batches further
 	// changes into one read. Every node reads each change: without a pause proportional to the number of members, the reads
 	// during a start or a release grow with the square of the number of nodes. The upper bound exists because a new member
@@ -77,6 +82,7 @@
 	announcedRow   atomic.Pointer[Row]
 	ownRowStored   atomic.Bool // the announced row is in the store
 	membersLoaded  chan struct{}
+	listLoaded     chan struct{} // closed once the table of the list has been read, even if it holds no valid list
 	listInstalled  chan struct{}
 	previousOwnRow Row // own row written by an earlier process; valid once membersLoaded is closed
 
@@ -89,7 +95,9 @@
 	memberCount     atomic.Int64              // number of known rows
 	listInstalledAt atomic.Pointer[time.Time] // when currentList was put in force; nil before
 	stopping        atomic.Bool
-	rankedReaders   atomic.Pointer[[]cluster.Member] // see rankReaders
+	ranking         atomic.Pointer[readerRanking]
+	// preferenceChanged receives a value when another member becomes the one that this node should follow.
+	preferenceChanged chan struct{}
 
 	regainedMu    sync.Mutex
 	storeRegained chan struct{} // closed and replaced each time the store is reachable again
@@ -118,19 +126,23 @@
 		reparse:       make(chan struct{}, 1),
 		ownRowChanged: make(chan struct{}, 1),
 		membersLoaded: make(chan struct{}),
-		listInstalled: make(chan struct{}),
-		rows:          map[string]memberRow{},
+		listLoaded:    make(chan struct{}),
+
+		preferenceChanged: make(chan struct{}, 1),
+		listInstalled:     make(chan struct{}),
+		rows:              map[string]memberRow{},
 
 		avoidUntil: map[string]time.Time{},
 	}
-	d.rankedReaders.Store(&[]cluster.Member{config.Self})
+	initial := rankReaders(nil, config.Self)
+	d.ranking.Store(&initial)
 	d.members = &followedTable{
 		name: MembersTable, readWait: memberReadWait, pauseAfterChanges: d.memberPause, apply: d.applyMembers,
-		cancelRead: &d.cancelMemberRead, relay: d.relay, relayTable: &d.relay.members,
+		cancelRead: &d.cancelMemberRead, relay: d.relay, relayTable: &d.relay.members, firstReadDelay: firstMemberRead,
 	}
 	d.list = &followedTable{
 		name: config.List.Table, readWait: listReadWait, apply: d.applyList,
-		relay: d.relay, relayTable: &d.relay.list, tracksStore: true,
+		relay: d.relay, relayTable: &d.relay.list, tracksStore: true, firstReadDelay: firstListRead,
 	}
 	return d
 }
@@ -267,6 +279,9 @@
 }
 
 func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, _ bool) {
+	if !isClosed(d.listLoaded) {
+		close(d.listLoaded)
+	}
 	for _, row := range rows {
 		if row.Key != d.config.List.Key || row.Removed {
 			continue
@@ -354,8 +369,14 @@
 		snapshot.Self = own.Member
 		add(*own)
 	}
-	ranked := rankReaders(others, snapshot.Self)
-	d.rankedReaders.Store(&ranked)
+	ranking := rankReaders(others, snapshot.Self)
+	previous := d.ranking.Swap(&ranking)
+	if follows := ranking.preferred(snapshot.Self.ID); follows != previous.preferred(snapshot.Self.ID) {
+		select {
+		case d.preferenceChanged <- struct{}{}:
+		default:
+		}
+	}
 	for _, members := range snapshot.Members {
 		slices.SortFunc(members, func(a, b cluster.Member) int { return strings.Compare(a.ID, b.ID) })
 	}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -18,6 +18,8 @@
 type followedTable struct {
 	name     string
 	readWait time.Duration // long-poll timeout of one read of changes
+	// firstReadDelay is the time between the read of the complete table and the first read of changes.
+	firstReadDelay time.Duration
 	// pauseAfterChanges returns the pause before the next read after a read that returned changes, which batches further
 	// changes into one read. Nil for no pause.
 	pauseAfterChanges func() time.Duration
@@ -43,13 +45,14 @@
 	f.relay.update(f.relayTable, rows, full, version)
 }
 
-// followTables follows a reader of the zone if there is one, otherwise the store, until ctx ends.
+// followTables follows a reader if there is one, otherwise the store, until ctx ends.
 func (d *Directory) followTables(ctx context.Context) {
 	for ctx.Err() == nil {
 		reader := d.followStore(ctx)
 		for reader != nil {
-			d.followReader(ctx, reader)
-			reader = d.switchReader(ctx)
+			if reader = d.followReader(ctx, reader); reader == nil {
+				reader = d.switchReader(ctx)
+			}
 		}
 	}
 }
@@ -58,7 +61,6 @@
 func (d *Directory) followStore(ctx context.Context) (found *readerStream) {
 	readCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	defer d.relay.setReadsStore(false)
 	var group errgroup.Group
 	for _, table := range []*followedTable{d.members, d.list} {
 		group.Go(func() error {
@@ -71,6 +73,9 @@
 		stop()
 	}
 	_ = group.Wait() // follow returns no error
+	if found == nil {
+		d.relay.setSource(sourceNone)
+	}
 	return found
 }
 
@@ -161,7 +166,12 @@
 		retry.reset()
 		table.update(ctx, rows, full, version)
 		if table.tracksStore && !d.stopping.Load() {
-			d.relay.setReadsStore(true)
+			d.relay.setSource(sourceStore)
+		}
+		if full && d.config.Peers != nil && !d.relay.hasFollowers() {
+			// A reader found meanwhile makes the first read of changes unnecessary.
+			_ = timing.Sleep(ctx, table.firstReadDelay)
+			continue
 		}
 		if len(rows) > 0 && table.pauseAfterChanges != nil {
 			_ = timing.Sleep(ctx, table.pauseAfterChanges()) // the loop condition checks ctx
@@ -172,7 +182,7 @@
 // markStoreLost records a failed read of the store. The first failure after a success is logged and counted.
 func (d *Directory) markStoreLost(table *followedTable, after uint64, err error) {
 	if table.tracksStore {
-		d.relay.setReadsStore(false)
+		d.relay.setSource(sourceNone)
 	}
 	if !table.readFailed.Swap(true) {
 		klog.InfoS("store lost", "table", table.name, "after", after, "err", err.Error())
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -37,6 +37,34 @@
 	headerListVersion    = "Acacialock-List-Version"
 )
 
+// headerFollowScope is the header of a follower's request with its followScope; absent: scopeGroup.
+const headerFollowScope = "Acacialock-Follow-Scope"
+
+// source is where a node gets the tables that it relays. The order is that of the followers that it serves.
+type source int
+
+const (
+	sourceNone   source = iota // another node of the group, or nothing yet: no followers
+	sourceRegion               // the region's reader: followers of the own group
+	sourceStore                // the store: followers of the own group and relays of the region
+)
+
+// source returns the source of a node that follows a reader in this scope.
+func (s followScope) source() source {
+	if s == scopeRegion {
+		return sourceRegion
+	}
+	return sourceNone
+}
+
+// requiredSource returns the least source of a node that a follower with this scope may follow.
+func (s followScope) requiredSource() source {
+	if s == scopeRegion {
+		return sourceStore
+	}
+	return sourceRegion
+}
+
 // frame is one message from a reader to a follower.
 type frame struct {
 	Members tableFrame `json:"members"`
@@ -59,16 +87,17 @@
 	Removed    bool   `json:"removed,omitempty"`
 }
 
-// relay streams the tables to the nodes of the zone that follow this one. It is an http.Handler for wire.FollowPath.
+// relay streams the tables to the nodes that follow this one. It is an http.Handler for wire.FollowPath.
 //
-// Reads of the store are billed and limited for all nodes together. With one reader per zone, they don't grow with the
-// number of nodes, and a list crosses the link between regions once per zone instead of once per node.
+// Reads of the store are billed and limited for all nodes together. One node of a region reads it and relays the tables to
+// one node of each group, which relays them to the group. The reads thus don't grow with the number of nodes or zones, and
+// a list crosses the link between regions once per region.
 type relay struct {
 	mu           sync.Mutex
 	members      relayTable
 	list         relayTable
-	readsStore   bool      // this node reads the store and its last read of the list succeeded
-	readDeadline time.Time // time by which the read of the list in progress must be answered
+	source       source
+	readDeadline time.Time // time by which the read of the list in progress, or the reader's next frame, must arrive
 	followers    int
 	changed      chan struct{} // closed and replaced at each change
 }
@@ -174,16 +203,23 @@
 	r.changed = make(chan struct{})
 }
 
-// setReadsStore sets whether this node reads the store itself. False ends all streams.
-func (r *relay) setReadsStore(readsStore bool) {
+// setSource sets where this node gets the tables from. Streams of followers that need a better source end.
+func (r *relay) setSource(changed source) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.readsStore != readsStore {
-		r.readsStore = readsStore
+	if r.source != changed {
+		r.source = changed
 		r.notifyStreams()
 	}
 }
 
+// extendDeadline lets the relayed state count as up to date for the given time.
+func (r *relay) extendDeadline(valid time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readDeadline = time.Now().Add(valid)
+}
+
 // beginListRead sets the deadline for the next read of the list and returns its long-poll timeout, which is shorter than
 // defaultWait while this node has followers. If the read is not answered by the deadline, the streams end.
 func (r *relay) beginListRead(defaultWait time.Duration) time.Duration {
@@ -197,21 +233,23 @@
 	return wait
 }
 
-// followerState reports whether this node is ready to serve followers, and whether its state is behind that of a follower
-// with these versions.
-func (r *relay) followerState(membersVersion, listVersion uint64) (ready, behind bool) {
+// followerState reports whether this node is ready to serve followers with this scope, and whether its state is behind that
+// of a follower with these versions.
+func (r *relay) followerState(scope followScope, membersVersion, listVersion uint64) (ready, behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ready = r.readsStore && r.members.loaded && r.list.loaded && time.Now().Before(r.readDeadline)
+	ready = r.source >= scope.requiredSource() && r.members.loaded && r.list.loaded && time.Now().Before(r.readDeadline)
 	return ready, membersVersion > r.members.version || listVersion > r.list.version
 }
 
 // nextFrame returns the frame for a follower with these versions, the channel that is closed at the next change, and the
-// deadline of the list read in progress, until which this node counts as up to date. If ok is false, the stream ends.
-func (r *relay) nextFrame(membersVersion, listVersion uint64) (next frame, changed <-chan struct{}, deadline time.Time, ok bool) {
+// deadline for the next news of the list, until which this node counts as up to date. If ok is false, the stream ends.
+func (r *relay) nextFrame(
+	scope followScope, membersVersion, listVersion uint64,
+) (next frame, changed <-chan struct{}, deadline time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.readsStore || !time.Now().Before(r.readDeadline) {
+	if r.source < scope.requiredSource() || !time.Now().Before(r.readDeadline) {
 		return frame{}, nil, time.Time{}, false
 	}
 	next = frame{Members: r.members.frameSince(membersVersion), List: r.list.frameSince(listVersion)}
@@ -224,8 +262,14 @@
 	r.followers += delta
 }
 
-// ServeHTTP streams frames until this node no longer reads the store or the follower disconnects. It responds with 400 if
-// the version headers are missing or invalid, and with 409 if the follower has to choose another reader.
+func (r *relay) hasFollowers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.followers > 0
+}
+
+// ServeHTTP streams frames until this node no longer has the source that the follower needs or the follower disconnects. It
+// responds with 400 if the version headers are missing or invalid, and with 409 if the follower has to choose another reader.
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	membersVersion, membersErr := strconv.ParseUint(request.Header.Get(headerMembersVersion), 10, 64)
 	listVersion, listErr := strconv.ParseUint(request.Header.Get(headerListVersion), 10, 64)
@@ -233,23 +277,29 @@
 		http.Error(w, "a follower names the versions that it knows", http.StatusBadRequest)
 		return
 	}
-	if ready, behind := r.followerState(membersVersion, listVersion); !ready || behind {
-		http.Error(w, "this node does not read the store now, or knows less", http.StatusConflict)
+	scope := scopeGroup
+	if request.Header.Get(headerFollowScope) == string(scopeRegion) {
+		scope = scopeRegion
+	}
+	if ready, behind := r.followerState(scope, membersVersion, listVersion); !ready || behind {
+		http.Error(w, "this node does not relay the tables now, or knows less", http.StatusConflict)
 		return
 	}
 	r.addFollowers(1)
 	defer r.addFollowers(-1)
-	r.stream(w, request, membersVersion, listVersion)
+	r.stream(w, request, scope, membersVersion, listVersion)
 }
 
 // stream sends a frame at each change and at least every heartbeatInterval.
-func (r *relay) stream(w http.ResponseWriter, request *http.Request, membersVersion, listVersion uint64) {
+func (r *relay) stream(
+	w http.ResponseWriter, request *http.Request, scope followScope, membersVersion, listVersion uint64,
+) {
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
 	heartbeat := time.NewTimer(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
-		next, changed, deadline, ok := r.nextFrame(membersVersion, listVersion)
+		next, changed, deadline, ok := r.nextFrame(scope, membersVersion, listVersion)
 		if !ok {
 			return
 		}
@@ -275,5 +325,5 @@
 // another reader either. It is called when the node stops.
 func (d *Directory) StopRelay() {
 	d.stopping.Store(true)
-	d.relay.setReadsStore(false)
+	d.relay.setSource(sourceNone)
 }
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -6,8 +6,10 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -35,10 +37,25 @@
 	readerSwitchTimeout = 300 * time.Millisecond
 	// failedReaderBackoff is the time for which a reader is avoided after it refused, failed or stopped responding.
 	failedReaderBackoff = 5 * time.Second
-	// maxMeanGroupSize bounds the mean number of nodes that share a reader. A frame has about 140 bytes including TCP and IP
-	// headers, so that the reader of 40 nodes sends 14 KB/s while nothing changes. Users allow a node this much control
-	// traffic.
-	maxMeanGroupSize = 40
+	// firstSearchDelay is the time between the first complete read of both tables and the first attempt to find a reader.
+	// After a restart of many nodes at once it gives the best reader time to read the store.
+	firstSearchDelay = 300 * time.Millisecond
+	// relaySettleTime is the time that a node continues to read the store after a better one has appeared. Its followers
+	// receive the row of that node meanwhile and can follow it when their streams end.
+	relaySettleTime = 150 * time.Millisecond
+	// maxConnectsPerSearch bounds the members that are tried in one search. A member that does not relay now refuses at once.
+	maxConnectsPerSearch = 3
+	// secondSwitchDelay is the time between the two searches for another reader before this node reads the store itself. In
+	// that time the next best node reads the store, and the others follow it.
+	secondSwitchDelay = 200 * time.Millisecond
+	// recheckInterval is the time after which a node that follows another member than the best one tries that again, or the
+	// store if it is itself the best. Jitter of up to half of it is added. Without it, extra nodes would read the store, or
+	// follow the region's reader, long after a fault has ended.
+	recheckInterval = 5 * time.Second
+	// maxMeanGroupSize bounds the mean number of nodes that share a relay. A frame has about 140 bytes including TCP and IP
+	// headers, so that a node with 40 followers sends 14 KB/s while nothing changes. Users allow a node this much control
+	// traffic. A region of 400 nodes has 16 groups, so its reader has 24 followers in its group and 15 other relays.
+	maxMeanGroupSize = 30
 	// maxAvoidedReaders bounds the number of avoided readers that are recorded; a zone has at most a few hundred nodes.
 	maxAvoidedReaders = 1000
 	// maxFrameBytes and maxFrameTime bound one frame of a reader, so that bytes without end neither fill the memory nor keep
@@ -50,54 +67,116 @@
 	maxDecompressedBytes = 4 << 20
 )
 
-// rankReaders returns the members of self's zone, self included, that may read the store for the others, best first. All
-// nodes of a zone compute the same order: by descending link bandwidth, since a reader sends the list to all others, then
-// by ID. The nodes of a large zone are divided into groups by their names, each with its own reader.
-func rankReaders(members []cluster.Member, self cluster.Member) []cluster.Member {
-	var zone []cluster.Member
+// readerRanking holds the members that a node may follow, best first.
+type readerRanking struct {
+	// group holds the members of the node's group, itself included. The best one relays the tables to the others.
+	group []cluster.Member
+	// region holds the best member of each group of the node's region. The best one reads the store for the others.
+	region []cluster.Member
+}
+
+// rankReaders ranks the members that self may follow. All nodes of a region compute the same ranking: by descending link
+// bandwidth, since a reader sends the list to all others, then by ID. The nodes of a large zone are divided into groups by
+// their names.
+func rankReaders(members []cluster.Member, self cluster.Member) readerRanking {
+	zoneSizes := map[string]int{} // without the node that asks
+	inRegion := []cluster.Member{self}
 	for _, member := range members {
-		if member.Zone == self.Zone && !member.Draining && member.ID != self.ID {
-			zone = append(zone, member)
+		if member.Region == self.Region && !member.Draining && member.ID != self.ID {
+			inRegion = append(inRegion, member)
+			zoneSizes[member.Zone]++
 		}
 	}
-	groups := uint64(len(zone)/maxMeanGroupSize + 1)
-	ownGroup := readerGroup(self, groups)
-	ranked := []cluster.Member{self}
-	for _, member := range zone {
-		if readerGroup(member, groups) == ownGroup {
-			ranked = append(ranked, member)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b cluster.Member) int {
+	slices.SortFunc(inRegion, func(a, b cluster.Member) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.ID, b.ID))
 	})
-	return ranked
+	groupOf := func(member cluster.Member) readerGroup {
+		others := zoneSizes[member.Zone]
+		if member.Zone != self.Zone {
+			others-- // the zone's own nodes don't count themselves
+		}
+		return newReaderGroup(member, others)
+	}
+	ownGroup := groupOf(self)
+	var ranking readerRanking
+	ranked := map[readerGroup]bool{}
+	for _, member := range inRegion {
+		group := groupOf(member)
+		if group == ownGroup {
+			ranking.group = append(ranking.group, member)
+		}
+		if !ranked[group] {
+			ranked[group] = true
+			ranking.region = append(ranking.region, member)
+		}
+	}
+	return ranking
 }
 
-// readerGroup returns the number of the group, below groups, that a node belongs to. It depends only on the node's name, so
-// that a restarted node stays in its group.
-func readerGroup(member cluster.Member, groups uint64) uint64 {
+// readerGroup identifies a group of nodes that share a relay.
+type readerGroup struct {
+	zone   string
+	number uint64
+}
+
+// newReaderGroup returns the group of a node in a zone with the given number of other nodes. The number depends only on the
+// node's name, so that a restarted node stays in its group.
+func newReaderGroup(member cluster.Member, others int) readerGroup {
 	name, _, _ := strings.Cut(member.ID, "@")
-	return xxhash.Sum64String(name) % groups
+	return readerGroup{member.Zone, xxhash.Sum64String(name) % uint64(others/maxMeanGroupSize+1)}
+}
+
+// followScope is the set of nodes for which a reader is followed.
+type followScope string
+
+const (
+	// scopeGroup followers may follow a node that reads the store, or one that follows a reader of the region.
+	scopeGroup followScope = "group"
+	// scopeRegion followers relay the tables to their group. They follow only a node that reads the store itself, so that
+	// nodes with different rankings can't follow each other in a circle.
+	scopeRegion followScope = "region"
+)
+
+// upstream is a member to follow, and the scope in which it is followed.
+type upstream struct {
+	member cluster.Member
+	scope  followScope
 }
 
-// chooseReader returns the member to follow, or false if this node has to read the store itself. A node that lost the store
+// choose returns the member to follow, or false if this node has to read the store itself. A node that lost the store
 // follows any other node, including lower-ranked ones, since the store may fail for this node only.
-func chooseReader(ranked []cluster.Member, self string, storeLost bool, avoided func(addr string) bool) (cluster.Member, bool) {
-	for _, member := range ranked {
-		switch {
-		case member.ID != self && !avoided(member.PeerAddr):
-			return member, true
-		case member.ID == self && !storeLost:
-			return cluster.Member{}, false
+func (r readerRanking) choose(self string, storeLost bool, avoided func(addr string) bool) (upstream, bool) {
+	for _, scope := range []struct {
+		members []cluster.Member
+		scope   followScope
+	}{{r.group, scopeGroup}, {r.region, scopeRegion}} {
+		for _, member := range scope.members {
+			if member.ID == self {
+				if storeLost {
+					continue
+				}
+				break
+			}
+			if !avoided(member.PeerAddr) {
+				return upstream{member, scope.scope}, true
+			}
 		}
 	}
-	return cluster.Member{}, false
+	return upstream{}, false
+}
+
+// nobody avoids no member.
+func nobody(string) bool { return false }
+
+// preferred returns the member to follow if none is avoided; the zero value if this node should read the store itself.
+func (r readerRanking) preferred(self string) upstream {
+	chosen, _ := r.choose(self, false, nobody)
+	return chosen
 }
 
 // readerStream is an open stream of frames from a reader.
 type readerStream struct {
-	reader       cluster.Member
+	upstream
 	body         io.ReadCloser
 	decoder      *json.Decoder
 	silenceTimer *time.Timer
@@ -108,19 +187,20 @@
 }
 
 // connect opens a stream from a reader and reads its first frame.
-func (d *Directory) connect(ctx context.Context, reader cluster.Member) (*readerStream, error) {
+func (d *Directory) connect(ctx context.Context, reader upstream) (*readerStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	stream := &readerStream{
-		reader:       reader,
+		upstream:     reader,
 		cancel:       cancel,
 		silenceTimer: time.AfterFunc(readerSilenceTimeout, cancel),
 		frameTimer:   time.AfterFunc(maxFrameTime, cancel),
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.PeerAddr+wire.FollowPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+reader.member.PeerAddr+wire.FollowPath, nil)
 	if err != nil {
 		stream.close()
 		return nil, eris.Wrap(err, "build follow request")
 	}
+	request.Header.Set(headerFollowScope, string(reader.scope))
 	request.Header.Set(headerMembersVersion, strconv.FormatUint(d.members.version.Load(), 10))
 	request.Header.Set(headerListVersion, strconv.FormatUint(d.list.version.Load(), 10))
 	response, err := d.config.Peers.Do(request)
@@ -131,7 +211,7 @@
 	stream.body = response.Body
 	if response.StatusCode != http.StatusOK {
 		stream.close()
-		return nil, eris.Errorf("reader responded with status %d", response.StatusCode)
+		return nil, &readerStatusError{response.StatusCode}
 	}
 	stream.frameLimit = &io.LimitedReader{R: silenceResetter{response.Body, stream.silenceTimer}}
 	stream.decoder = json.NewDecoder(stream.frameLimit)
@@ -142,6 +222,13 @@
 	return stream, nil
 }
 
+// readerStatusError reports a reader that refused a follower.
+type readerStatusError struct{ status int }
+
+func (e *readerStatusError) Error() string {
+	return fmt.Sprintf("reader responded with status %d", e.status)
+}
+
 // readFrame waits for the next frame and decodes it. Frames follow each other within heartbeatInterval, so the time limit
 // includes the wait.
 func (s *readerStream) readFrame(next *frame) error {
@@ -171,53 +258,106 @@
 	}
 }
 
-// findReader tries to connect to a reader every readerSearchInterval and returns its stream, or nil when ctx ends.
+// findReader tries to connect to a reader, firstSearchDelay after both tables were read, then every readerSearchInterval and
+// when another member becomes the one to follow. It returns its stream, or nil when ctx ends.
 func (d *Directory) findReader(ctx context.Context) *readerStream {
-	for {
-		if timing.Sleep(ctx, readerSearchInterval) != nil {
+	if d.waitUntilLoaded(ctx) != nil {
+		return nil
+	}
+	for delay := firstSearchDelay; ; delay = readerSearchInterval {
+		timer := time.NewTimer(delay)
+		select {
+		case <-timer.C:
+		case <-d.preferenceChanged:
+			timer.Stop()
+			_ = timing.Sleep(ctx, relaySettleTime) // search fails when ctx has ended
+		case <-ctx.Done():
+			timer.Stop()
 			return nil
 		}
-		if !d.members.loaded.Load() || !d.list.loaded.Load() || d.stopping.Load() {
+		if d.stopping.Load() {
 			continue
 		}
-		reader, ok := chooseReader(*d.rankedReaders.Load(), d.selfID(), d.list.readFailed.Load(), d.isAvoided)
-		if !ok {
-			continue
+		if stream := d.search(ctx, d.list.readFailed.Load()); stream != nil {
+			return stream
+		}
+	}
+}
+
+// search connects to the best member that relays the tables, trying at most maxConnectsPerSearch, and returns its stream, or
+// nil if there is none or this node has to read the store itself.
+func (d *Directory) search(ctx context.Context, storeLost bool) *readerStream {
+	refused := map[string]bool{} // by peer address
+	for range maxConnectsPerSearch {
+		reader, ok := d.ranking.Load().choose(d.selfID(), storeLost, func(addr string) bool {
+			return refused[addr] || d.isAvoided(addr)
+		})
+		if !ok || ctx.Err() != nil {
+			return nil
 		}
 		stream, err := d.connect(ctx, reader)
 		if err == nil {
 			return stream
 		}
+		var status *readerStatusError
+		if errors.As(err, &status) && status.status == http.StatusConflict {
+			refused[reader.member.PeerAddr] = true
+			klog.V(1).InfoS("reader does not relay now", "reader", reader.member.ID, "scope", reader.scope)
+			continue
+		}
 		d.avoidReader(reader, err)
 	}
+	return nil
 }
 
-// switchReader tries to connect to another reader at once and returns its stream, or nil on failure. Followers of a reader
-// that was replaced by a higher-ranked one thus make no calls to the store.
+// switchReader tries to connect to another reader and returns its stream, or nil on failure. Followers of a reader that was
+// replaced thus make no calls to the store.
 func (d *Directory) switchReader(ctx context.Context) *readerStream {
-	reader, ok := chooseReader(*d.rankedReaders.Load(), d.selfID(), false, d.isAvoided)
-	if !ok || ctx.Err() != nil || d.stopping.Load() {
+	if stream := d.searchBriefly(ctx); stream != nil || d.isPreferredReader() {
+		return stream
+	}
+	_ = timing.Sleep(ctx, secondSwitchDelay)
+	return d.searchBriefly(ctx)
+}
+
+// isPreferredReader reports whether this node is the one that should read the store, as far as it knows.
+func (d *Directory) isPreferredReader() bool {
+	_, follows := d.ranking.Load().choose(d.selfID(), false, d.isAvoided)
+	return !follows
+}
+
+// searchBriefly is search within readerSwitchTimeout.
+func (d *Directory) searchBriefly(ctx context.Context) *readerStream {
+	if ctx.Err() != nil || d.stopping.Load() {
 		return nil
 	}
 	streamCtx, cancel := context.WithCancel(ctx)
 	timeout := time.AfterFunc(readerSwitchTimeout, cancel)
-	stream, err := d.connect(streamCtx, reader)
-	if !timeout.Stop() || err != nil {
+	stream := d.search(streamCtx, false)
+	if !timeout.Stop() || stream == nil {
 		cancel()
 		if stream != nil {
 			stream.close()
 		}
-		if err == nil {
-			err = streamCtx.Err()
-		}
-		d.avoidReader(reader, err)
 		return nil
 	}
 	context.AfterFunc(ctx, cancel)
 	return stream
 }
 
-// selfID returns the ID of this node's member in rankedReaders.
+// waitUntilLoaded waits until both tables have been read once. It fails when ctx ends.
+func (d *Directory) waitUntilLoaded(ctx context.Context) error {
+	for _, loaded := range []<-chan struct{}{d.membersLoaded, d.listLoaded} {
+		select {
+		case <-loaded:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// selfID returns the ID of this node's member in its ranking.
 func (d *Directory) selfID() string {
 	if own := d.announcedRow.Load(); own != nil {
 		return own.Member.ID
@@ -229,12 +369,12 @@
 func (d *Directory) isAvoided(addr string) bool { return time.Now().Before(d.avoidUntil[addr]) }
 
 // avoidReader avoids a reader for failedReaderBackoff because of err.
-func (d *Directory) avoidReader(reader cluster.Member, err error) {
+func (d *Directory) avoidReader(reader upstream, err error) {
 	if len(d.avoidUntil) >= maxAvoidedReaders {
 		clear(d.avoidUntil)
 	}
-	d.avoidUntil[reader.PeerAddr] = time.Now().Add(failedReaderBackoff)
-	klog.V(1).InfoS("reader not followed", "reader", reader.ID, "err", err.Error())
+	d.avoidUntil[reader.member.PeerAddr] = time.Now().Add(failedReaderBackoff)
+	klog.V(1).InfoS("reader not followed", "reader", reader.member.ID, "scope", reader.scope, "err", err.Error())
 }
 
 // Reader returns the member that reads the store for this node, or false while this node reads the store itself.
@@ -249,32 +389,77 @@
 func (d *Directory) StoreLost() bool { return d.list.readFailed.Load() }
 
 // followReader applies the frames of a reader until the stream ends, nothing is received for readerSilenceTimeout, or ctx
-// ends.
-func (d *Directory) followReader(ctx context.Context, stream *readerStream) {
+// ends. It returns the stream of a better reader if that was the reason.
+func (d *Directory) followReader(ctx context.Context, stream *readerStream) *readerStream {
 	defer stream.close()
 	defer context.AfterFunc(ctx, stream.cancel)()
-	d.reader.Store(&stream.reader)
+	d.reader.Store(&stream.member)
 	defer d.reader.Store(nil)
-	klog.InfoS("following a reader", "reader", stream.reader.ID, "members", d.members.version.Load(),
+	d.relay.setSource(stream.scope.source())
+	klog.InfoS("following a reader", "reader", stream.member.ID, "scope", stream.scope, "members", d.members.version.Load(),
 		"list", d.list.version.Load())
 	d.config.Metrics.Counter("reader.followed").Inc(1)
+	recheckCtx, stopRecheck := context.WithCancel(ctx)
+	recheck := make(chan recheckResult, 1)
+	go func() { recheck <- d.awaitBetterReader(ctx, recheckCtx, stream) }()
+	err := d.applyFrames(ctx, stream)
+	stopRecheck()
+	result := <-recheck
+	if !result.left && ctx.Err() == nil {
+		d.avoidReader(stream.upstream, err)
+		klog.InfoS("reader lost", "reader", stream.member.ID, "err", err.Error())
+		d.config.Metrics.Counter("reader.lost").Inc(1)
+	}
+	return result.stream
+}
+
+// applyFrames applies the frames of a stream until it fails.
+func (d *Directory) applyFrames(ctx context.Context, stream *readerStream) error {
 	next := stream.firstFrame
 	for {
-		err := d.applyFrame(ctx, &next)
-		if err == nil {
-			next = frame{}
-			err = stream.readFrame(&next)
+		if err := d.applyFrame(ctx, &next); err != nil {
+			return err
 		}
-		if err == nil {
+		next = frame{}
+		if err := stream.readFrame(&next); err != nil {
+			return err
+		}
+	}
+}
+
+// recheckResult is the result of awaitBetterReader.
+type recheckResult struct {
+	left   bool          // the stream was ended because it is not that of the best reader
+	stream *readerStream // of the best reader; nil if this node should read the store
+}
+
+// awaitBetterReader checks every recheckInterval whether the stream is that of the best reader. If not, it connects to that
+// one and ends the stream. It gives up when recheckCtx ends; ctx bounds the new stream.
+func (d *Directory) awaitBetterReader(ctx, recheckCtx context.Context, stream *readerStream) recheckResult {
+	for timing.Sleep(recheckCtx, recheckInterval+rand.N(recheckInterval/2)) == nil {
+		best := d.ranking.Load().preferred(d.selfID())
+		switch {
+		case best.scope == stream.scope && best.member.PeerAddr == stream.member.PeerAddr:
 			continue
+		case best.member.ID == "":
+			klog.InfoS("reading the store again in place of a lower-ranked reader", "reader", stream.member.ID)
+			stream.cancel()
+			return recheckResult{left: true}
 		}
-		if ctx.Err() == nil {
-			d.avoidReader(stream.reader, err)
-			klog.InfoS("reader lost", "reader", stream.reader.ID, "err", err.Error())
-			d.config.Metrics.Counter("reader.lost").Inc(1)
+		connectCtx, cancel := context.WithCancel(ctx)
+		giveUp := context.AfterFunc(recheckCtx, cancel)
+		found, err := d.connect(connectCtx, best)
+		switch {
+		case err != nil:
+			cancel()
+		case !giveUp():
+			found.close()
+		default:
+			stream.cancel()
+			return recheckResult{left: true, stream: found}
 		}
-		return
 	}
+	return recheckResult{}
 }
 
 // applyFrame applies a frame to both tables. It fails if a row can't be decompressed.
@@ -289,6 +474,7 @@
 		}
 		part.table.update(ctx, rows, part.frame.Full, part.frame.Version)
 	}
+	d.relay.extendDeadline(readerSilenceTimeout + listReadGrace)
 	return nil
 }
 
