Offer requests with slack to another region before they wait

Sends after a refusal by a full queue were charged to the retry budget, so others ended with free members untried. Calls of a region without any target left (no-local-target after a restart) were refused without an offer.

Change: a request whose target latency leaves 180 ms (two round trips and a short wait) is offered to another region when half as many requests wait at home as run there; refused there, it returns home. Kinds with the most slack leave first. Refusals by a full queue or an unreachable deadline are not charged: they put no load on a target. Every refusal that has not run, other than by a target itself, may overflow within the rule's MaxAttempts.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -144,7 +144,8 @@
 
 // Acquire waits for a slot like AcquireByDeadline or, if request.Exclusive is set, like AcquireExclusive. If the queue
 // is full, a request of higher rank replaces the one of lowest rank in it. Besides the reasons of AcquireByDeadline, an
-// error can have the reasons target-slow and target-failing if request.HasAlternative is set.
+// error can have the reasons target-slow and target-failing if request.HasAlternative is set, and target-busy if
+// request.CanOverflow is set.
 func (l *Limiter) Acquire(ctx context.Context, request Request) (*Slot, *failure.Error) {
 	now := time.Now()
 	w := &waiter{Request: request, result: make(chan result, 1)}
@@ -178,6 +179,11 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
+	if w.CanOverflow && !w.Exclusive && !held && l.hasBacklog() && w.hasOverflowSlack(now) {
+		refusal := failure.New(failure.TargetBusy, failure.NotRun, "%d requests run and %d wait", l.inFlight, len(l.queue.waiters))
+		l.mu.Unlock()
+		return nil, refusal
+	}
 	if len(l.queue.waiters) >= l.limits.Queue && !w.Exclusive {
 		l.evictLast(now)
 	}
@@ -261,6 +267,10 @@
 	return serviceTime + typical*time.Duration(ahead+1)/time.Duration(l.slotLimit())
 }
 
+// hasBacklog reports whether the queue is long enough for a request to leave the region, whose link is billed: half as many
+// requests wait as run at full use, so that a new one waits for half a service time.
+func (l *Limiter) hasBacklog() bool { return 2*len(l.queue.waiters) >= l.slotLimit() }
+
 // maxWait returns the time after which a queued request can no longer be answered before its deadline, or for a
 // request for exclusive use at most ExclusiveWait.
 func (l *Limiter) maxWait(now time.Time, w *waiter) time.Duration {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,6 +23,9 @@
 	// Overflow is true for spillover from a region without free capacity. Such a request gets a free slot or is
 	// refused; it does not wait for one.
 	Overflow bool
+	// CanOverflow is true if the sender can offer the request to another region. If no slot is free, such a request is
+	// refused instead of queued while it can still meet its soft deadline there.
+	CanOverflow bool
 }
 
 // waiter is a queued request.
@@ -34,6 +37,17 @@
 	result       chan result   // buffered, receives one value
 }
 
+// overflowTime is the time that a request may lose in another region: one round trip of 60 ms for a new connection, one for
+// the request, and a short wait.
+const overflowTime = 180 * time.Millisecond
+
+// hasOverflowSlack reports whether the request can meet its soft deadline in another region. It answers load on regions of
+// unequal size: while one has a queue and another free slots, requests with the most slack leave first, and those with too
+// little keep the slots of their own region.
+func (w *waiter) hasOverflowSlack(now time.Time) bool {
+	return !w.SoftDeadline.IsZero() && w.SoftDeadline.Sub(now)-w.serviceTime >= overflowTime
+}
+
 // late reports whether the answer would miss the soft deadline if the request started now.
 func (w *waiter) late(now time.Time) bool {
 	return !w.SoftDeadline.IsZero() && now.Add(w.serviceTime).After(w.SoftDeadline)
--- a/internal/balance/overflow.go
+++ b/internal/balance/overflow.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/failure"
@@ -67,8 +68,7 @@
 func (p *Pool) chooseOverflow(request *Request, now time.Time) (*memberState, float64) {
 	candidates := p.healthy[:0]
 	for _, candidate := range p.states {
-		if candidate.distance == otherRegion && request.allows(&candidate.member, candidate.id()) && !candidate.isDraining() &&
-			!candidate.reachability.lost && p.isHealthy(candidate, now) {
+		if p.takesOverflow(candidate, now) && request.allows(&candidate.member, candidate.id()) {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -81,3 +81,20 @@
 	p.countEvent("overflow")
 	return chosen, p.expectedResponseTime(chosen, now)
 }
+
+// CanOverflow reports whether a pick with Request.Overflow may succeed now. It does not change the circuit breaker.
+func (p *Pool) CanOverflow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Clock()
+	if p.overflow.blocked && now.Before(p.overflow.nextTrialAt) || !p.config.LinkHasCapacity() {
+		return false
+	}
+	return slices.ContainsFunc(p.states, func(candidate *memberState) bool { return p.takesOverflow(candidate, now) })
+}
+
+// takesOverflow reports whether a member is in another region and seems able to serve.
+func (p *Pool) takesOverflow(candidate *memberState, now time.Time) bool {
+	return candidate.distance == otherRegion && !candidate.isDraining() && !candidate.reachability.lost &&
+		p.isHealthy(candidate, now)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -33,6 +33,7 @@
 	pinned             bool          // the node must not refuse the attempt because its target is slow or failing
 	grant              *grantHeaders // keyed calls only
 	overflow           bool          // the node must refuse the attempt unless a slot is free
+	canOverflow        bool          // another region may take the call if the node has no free slot
 	generation         *forward.Generation
 	cancel             context.CancelFunc
 	started            time.Time
@@ -53,6 +54,7 @@
 	currentID string // id of the member that its node serves since a restart; empty: unknown
 	sample    *wire.LoadSample
 	latency   time.Duration // to the first byte
+	overflow  bool          // the attempt was offered to another region
 }
 
 // roundTripResult holds the return values of a round trip.
@@ -145,6 +147,9 @@
 	case a.pinned:
 		header.Set(wire.Stay, "1")
 	}
+	if a.canOverflow {
+		header.Set(wire.CanOverflow, "1")
+	}
 	if a.member.Region != a.call.snapshot.Self.Region {
 		header.Set(wire.Link, "1")
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -118,6 +118,12 @@
 
 // newFixtureIn starts one node for each element of regions; the entry node is in region r.
 func newFixtureIn(t *testing.T, regions []string, target http.HandlerFunc) *fixture {
+	t.Helper()
+	return newFixtureWithRules(t, regions, nil, target)
+}
+
+// newFixtureWithRules is newFixtureIn with a service list that has rules.
+func newFixtureWithRules(t *testing.T, regions []string, rules []*servicelist.Rule, target http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{network: &silentNet{}, metrics: telemetry.New()}
 	service := &servicelist.Service{
@@ -129,6 +135,9 @@
 		List:    &servicelist.List{Version: 1, Services: map[string]*servicelist.Service{"orders": service}, Measuring: servicelist.Measuring{RegionBytesPerSecond: 14000, LinkBytesPerSecond: 1000}},
 		Members: map[string][]cluster.Member{},
 	}
+	if len(rules) > 0 {
+		snapshot.List.Rules = servicelist.NewRuleSet(rules)
+	}
 	for i, region := range regions {
 		self := cluster.Member{ID: fmt.Sprintf("n%d@1", i), Service: "orders", Zone: "a", Region: region}
 		snapshot.Members["orders"] = append(snapshot.Members["orders"], f.startNode(t, self, snapshot, target))
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -12,13 +12,14 @@
 	// maxOverflows is the greatest number of members of other regions that a call is sent to after its own region refused
 	// it. It is above one because a third of the members may be slow.
 	maxOverflows = 2
-	// minOverflowTime is the least time until the deadline with which a call is sent to another region: the round trip of
-	// 60 ms and a short service time.
+	// minOverflowTime is the least time until the deadline, or until the soft deadline while the own region has not refused the
+	// call, with which it is sent to another region: the round trip of 60 ms and a short service time.
 	minOverflowTime = 120 * time.Millisecond
 )
 
-// allowOverflow reports whether a call that its own region refused may be sent to another region. The call has not run and
-// may only take free slots there, so it is not charged to the retry budget; the balancer limits how many calls overflow.
+// allowOverflow reports whether a call that its own region refused, or that has no target left there, may be sent to another
+// region. The call has not run and may only take free slots there, so it is not charged to the retry budget; the balancer
+// limits how many calls overflow.
 func (h *Handler) allowOverflow(c *call, res result) bool {
 	failed := res.failed
 	switch {
@@ -26,11 +27,8 @@
 		return false
 	case c.overflows >= maxOverflows || c.sends >= maxSends || !c.body.replayable():
 		return false
-	}
-	switch failed.Reason {
-	case failure.QueueFull, failure.DeadlineUnreachable, failure.TargetSlow, failure.TargetFailing:
-	default:
-		return false
+	case !retryable(c, failed) || failed.Reason == failure.TargetShed || c.reached >= c.maxReached():
+		return false // another attempt would be useless, or may be one target more than the rule allows
 	}
 	if c.localRefusal == nil {
 		c.localRefusal = &res
@@ -56,3 +54,10 @@
 	}
 	return *c.localRefusal
 }
+
+// canOverflowEarly reports whether a call may be offered to another region before its own region has refused it: it has a
+// target latency that it can still meet there.
+func (h *Handler) canOverflowEarly(c *call, policy *Policy) bool {
+	return c.overflows == 0 && !c.pinned && c.key == "" && !c.softDeadline.IsZero() && c.softRemaining() >= minOverflowTime &&
+		c.sends < maxSends && c.body.replayable() && policy.balancer.CanOverflow()
+}
--- a/internal/entry/overflow_test.go
+++ b/internal/entry/overflow_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
 
 	"github.com/acacialock/acacialock/internal/failure"
+	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -87,3 +91,83 @@
 	close(release)
 	wait()
 }
+
+// ordersRule is a rule for all paths of the service, with a target latency of one second.
+func ordersRule() []*servicelist.Rule {
+	return []*servicelist.Rule{{
+		Name: "buy", Host: "orders", Prefix: "/", Timeout: 5 * time.Second, TargetLatency: time.Second, MaxAttempts: 2,
+		Split: []servicelist.Share{{Service: "orders", Weight: 1}},
+	}}
+}
+
+// Guards against calls that wait behind a backlog in their region while another region has free slots, and against calls
+// that are refused although their own region would have queued them: a call that the other region refuses returns home.
+func TestCallsLeaveABusyRegionEarly(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		arrived, release := make(chan struct{}, 64), make(chan struct{})
+		f := newFixtureWithRules(t, []string{"r", "other"}, ordersRule(), func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- struct{}{}
+			if r.Header.Get("X-Order") == "" || full {
+				<-release
+			}
+		})
+		otherRegion := 0
+		if full {
+			otherRegion = 9
+		}
+		wait := f.fill(t, arrived, 5, otherRegion) // a backlog of half of the slots, rounded up
+		overflows := f.metrics.Counter("balance.orders.overflow").Count()
+		answered := make(chan int)
+		go func() {
+			response, _, err := f.call(http.MethodPost, "/", "o", strings.NewReader("x"))
+			assert.Check(t, err == nil)
+			answered <- response.StatusCode
+		}()
+		if !full {
+			assert.Equal(t, <-answered, http.StatusOK) // while its own region is still occupied
+			assert.Equal(t, f.metrics.Counter("balance.orders.overflow").Count(), overflows+1)
+		}
+		if full {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				return poll.Compare(cmp.Equal(f.metrics.Counter("balance.orders.overflow").Count(), overflows+1))
+			})
+		}
+		close(release)
+		if full {
+			assert.Equal(t, <-answered, http.StatusOK)
+		}
+		assert.Equal(t, f.runCount("o"), int64(1))
+		wait()
+	}
+}
+
+// Guards against an overflow that reaches one target more than the rule allows: a request that a target itself refused has
+// reached that target.
+func TestOverflowStaysWithinMaxAttempts(t *testing.T) {
+	h := New(Config{Metrics: telemetry.New()})
+	now := time.Now()
+	for _, c := range []struct {
+		reason  failure.Reason
+		reached int
+		want    bool
+	}{
+		{failure.QueueFull, 0, true},
+		{failure.NoLocalTarget, 0, true},
+		{failure.QueueFull, 2, false},
+		{failure.TargetShed, 1, false},
+		{failure.Quarantined, 0, false},
+	} {
+		call := &call{rule: ordersRule()[0], deadline: now.Add(time.Minute), body: &requestBody{}, reached: c.reached}
+		failed := failure.New(c.reason, failure.NotRun, "refused")
+		assert.Equal(t, h.allowOverflow(call, result{failed: failed}), c.want, "%+v", c)
+	}
+}
+
+// Guards against a retry budget that a burst uses up with refusals by full queues, which put no load on any target.
+func TestRefusalsByFullQueuesAreNotCharged(t *testing.T) {
+	for _, reason := range []failure.Reason{failure.QueueFull, failure.DeadlineUnreachable} {
+		assert.Assert(t, reachedNoTarget(failure.New(reason, failure.NotRun, "refused")))
+		assert.Assert(t, !reachedNoTarget(failure.New(reason, failure.Unknown, "refused")))
+	}
+	assert.Assert(t, !reachedNoTarget(failure.New(failure.TargetShed, failure.NotRun, "refused")))
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -51,10 +51,18 @@
 	}
 }
 
-// retryOrOverflow starts another attempt after a failed one: a retry, or else an overflow to another region. It returns
-// false when neither is allowed or no member is left.
+// retryOrOverflow starts another attempt after a failed one: a retry, or else an overflow to another region. A call whose
+// own region is busy but has not refused it overflows first, and returns to its region if it is refused there. It returns
+// false when no attempt is allowed or no member is left.
 func (h *Handler) retryOrOverflow(ctx context.Context, c *call, policy *Policy, res result, results chan<- result) bool {
+	if res.overflow && c.localRefusal == nil && res.failed.Outcome == failure.NotRun {
+		c.sends--
+		return h.launchRetry(ctx, c, policy, results) == nil
+	}
 	if h.allowRetry(c, policy, res) {
+		if res.failed.Reason == failure.TargetBusy && h.launchOverflow(ctx, c, policy, results) == nil {
+			return true
+		}
 		if h.launchRetry(ctx, c, policy, results) == nil {
 			return true
 		}
@@ -90,7 +98,12 @@
 	}
 	a := h.newAttempt(c, pick)
 	a.overflow = request.Overflow
-	go func() { results <- h.reportResult(c, pick, a.runRecovered(ctx)) }()
+	a.canOverflow = !a.overflow && h.canOverflowEarly(c, policy)
+	go func() {
+		res := h.reportResult(c, pick, a.runRecovered(ctx))
+		res.overflow = a.overflow
+		results <- res
+	}()
 	return nil
 }
 
@@ -217,13 +230,13 @@
 }
 
 // reachedNoTarget reports whether a failed attempt put no load on any target, so that the next send is no extra load.
-// Such sends are not charged to the retry budget, because a stall of all connections or a restart would exhaust it at
-// once. maxSends bounds them.
+// Such sends are not charged to the retry budget, because a stall of all connections, a restart or a burst that fills the
+// queues would exhaust it at once. maxSends bounds them.
 func reachedNoTarget(failed *failure.Error) bool {
 	switch failed.Reason {
 	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget:
 		return true
-	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.WrongTarget, failure.TargetUnreachable:
+	case failure.QueueFull, failure.DeadlineUnreachable, failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.WrongTarget, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
 	default:
 		return false
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -44,6 +44,7 @@
 	WrongTarget           Reason = "wrong-target"   // another target now has the address
 	TargetSlow            Reason = "target-slow"    // the target is slow at the moment; another may be faster
 	TargetFailing         Reason = "target-failing" // the target fails most requests; another may succeed
+	TargetBusy            Reason = "target-busy"    // no slot is free, and another region may have one
 
 	// Reasons for calls with an Idempotency-Key.
 	BadIdempotencyKey   Reason = "bad-idempotency-key"
@@ -81,4 +82,4 @@
 }
 
 // IsMove reports whether a request refused for this reason is sent to another target. Such a request has not run.
-func (r Reason) IsMove() bool { return r == TargetSlow || r == TargetFailing }
+func (r Reason) IsMove() bool { return r == TargetSlow || r == TargetFailing || r == TargetBusy }
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -12,7 +12,7 @@
 // internalRequestHeaders are meant for this node and are not forwarded to the target.
 var internalRequestHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
-	wire.RosterVersion, wire.NotAfter, wire.TimeoutMS, wire.Rank, wire.Stay, wire.Overflow,
+	wire.RosterVersion, wire.NotAfter, wire.TimeoutMS, wire.Rank, wire.Stay, wire.Overflow, wire.CanOverflow,
 }
 
 // internalResponseHeaders are set by nodes only and are removed from the target's responses: a target could use them to
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -48,7 +48,7 @@
 		return nil, notRun(failure.BadRequest, "path %q does not start with %s", r.URL.Path, wire.ForwardPath)
 	}
 	forwarded.rank = admission.Request{Deadline: forwarded.deadline, HasAlternative: r.Header.Get(wire.Stay) == "",
-		Overflow: r.Header.Get(wire.Overflow) != ""}
+		Overflow: r.Header.Get(wire.Overflow) != "", CanOverflow: r.Header.Get(wire.CanOverflow) != ""}
 	if text := r.Header.Get(wire.Rank); text != "" {
 		kind, priority, softTimeout, err := wire.ParseRank(text)
 		if err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,17 +25,18 @@
 
 // Headers between nodes. They are removed before a message goes to a caller or a target.
 const (
-	Service       = "Acacialock-Service"     // name of the service that is called
-	AttemptHeader = "Acacialock-Attempt"     // an AttemptID, as 32 hexadecimal digits
-	Incarnation   = "Acacialock-Incarnation" // id of the member that the attempt is intended for
-	Load          = "Acacialock-Load"        // a LoadSample of the target's node; see LoadSample.String
-	Idempotent    = "Acacialock-Idempotent"  // "1" when the attempt may run more than once
-	KeyOwner      = "Acacialock-Key-Owner"   // member id of the owner that granted the attempt
-	RosterVersion = "Acacialock-Roster"      // roster version of the grant
-	Rank          = "Acacialock-Rank"        // kind, priority and soft timeout; see FormatRank
-	Stay          = "Acacialock-Stay"        // "1" when the node must not refuse because its target is slow or failing
-	Overflow      = "Acacialock-Overflow"    // "1" when the attempt may only use a free slot and must not be queued
-	Link          = "Acacialock-Link"        // "1" when the message crosses the link between regions
+	Service       = "Acacialock-Service"      // name of the service that is called
+	AttemptHeader = "Acacialock-Attempt"      // an AttemptID, as 32 hexadecimal digits
+	Incarnation   = "Acacialock-Incarnation"  // id of the member that the attempt is intended for
+	Load          = "Acacialock-Load"         // a LoadSample of the target's node; see LoadSample.String
+	Idempotent    = "Acacialock-Idempotent"   // "1" when the attempt may run more than once
+	KeyOwner      = "Acacialock-Key-Owner"    // member id of the owner that granted the attempt
+	RosterVersion = "Acacialock-Roster"       // roster version of the grant
+	Rank          = "Acacialock-Rank"         // kind, priority and soft timeout; see FormatRank
+	Stay          = "Acacialock-Stay"         // "1" when the node must not refuse because its target is slow or failing
+	Overflow      = "Acacialock-Overflow"     // "1" when the attempt may only use a free slot and must not be queued
+	CanOverflow   = "Acacialock-Can-Overflow" // "1" when the sender can offer the request to another region
+	Link          = "Acacialock-Link"         // "1" when the message crosses the link between regions
 )
 
 // CurrentMember is the header with the id of the member that a node serves now. The node sets it when it refuses an
