Answer 502 where a request may have run, and log readiness

503 is a promise that the request has not run. Failures with another outcome had it by default, for example of a caller that half-closed its connection and of keys whose history is lost. They have 502 now, a defect of the node 500. A line says when a node becomes ready or not ready, and why.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -57,11 +57,15 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Status returns the HTTP status sent with the failure; 503 unless its reason has another.
+// Status returns the HTTP status sent with the failure. Callers take 503 as a promise that the request has not run, so a
+// failure without that outcome has 502 unless its reason has another status.
 func (e *Error) Status() int {
 	if status, ok := statuses[e.Reason]; ok {
 		return status
 	}
+	if e.Outcome != NotRun {
+		return http.StatusBadGateway
+	}
 	return http.StatusServiceUnavailable
 }
 
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -60,7 +60,7 @@
 	KeyRunnerGone       Reason = "key-runner-gone"
 )
 
-// statuses maps reasons to HTTP statuses. A reason without an entry is sent with 503 Service Unavailable.
+// statuses maps reasons to HTTP statuses; see Error.Status for the others.
 var statuses = map[Reason]int{
 	UnknownService:        http.StatusNotFound,
 	UnknownRoute:          http.StatusNotFound,
@@ -79,6 +79,7 @@
 	KeyInProgress:         http.StatusConflict,
 	AnswerNotKept:         http.StatusConflict,
 	Quarantined:           http.StatusUnprocessableEntity,
+	InternalError:         http.StatusInternalServerError,
 }
 
 // IsMove reports whether a request refused for this reason is sent to another target. Such a request has not run.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,8 @@
 	target    *localTarget
 	servers   *serving.Servers
 	draining  atomic.Bool
+
+	reportedReadiness atomic.Pointer[string] // notReadyReason that was logged last
 }
 
 // New returns a node on the platform of adapter and opens its listeners. Run serves them.
@@ -199,7 +201,7 @@
 // adminHandler serves metrics, health and readiness.
 func (n *Node) adminHandler() http.Handler {
 	ready := func(w http.ResponseWriter, _ *http.Request) {
-		if !n.ready() {
+		if n.reportReadiness() != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"k8s.io/klog/v2"
+
 	"github.com/acacialock/acacialock/internal/cluster"
 )
 
@@ -55,7 +57,31 @@
 }
 
 // ready reports whether callers may be sent to the node.
-func (n *Node) ready() bool { return !n.draining.Load() && n.directory.Ready() }
+func (n *Node) ready() bool { return n.notReadyReason() == "" }
+
+// notReadyReason returns why callers should use other nodes, or "" if they may use this one.
+func (n *Node) notReadyReason() string {
+	switch {
+	case n.draining.Load():
+		return "stopping"
+	case !n.directory.Ready():
+		return "members or service list not read yet"
+	}
+	return ""
+}
+
+// reportReadiness returns notReadyReason and logs a change since its last call.
+func (n *Node) reportReadiness() string {
+	reason := n.notReadyReason()
+	if previous := n.reportedReadiness.Swap(&reason); previous == nil || *previous != reason {
+		if reason == "" {
+			klog.InfoS("ready", "node", n.self.ID, "list", n.view.Load().ListVersion())
+		} else {
+			klog.InfoS("not ready", "node", n.self.ID, "reason", reason)
+		}
+	}
+	return reason
+}
 
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
