Keep the node running when its log output is closed

A write to a closed standard output raises SIGPIPE, which ended the process: a log collector that stopped took every node of its machine type down. TestClosedLogOutputDoesNotEndTheNode fails without the change.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -49,6 +49,7 @@
 	// node that is starting or draining.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // its default action would end the node when the reader of the log has closed the output
 	var args arguments
 	arg.MustParse(&args)
 	loaded, err := settings.Load(args.Config)
--- a/cmd/acacialockd/main_test.go
+++ b/cmd/acacialockd/main_test.go
@@ -18,13 +18,33 @@
 // waitTimeout limits each wait for a process. It allows for a busy machine.
 const waitTimeout = 20 * time.Second
 
+// brokenOutputEnv is the environment variable that makes the process of runAsProcessEnv run with a standard output and a
+// standard error whose reader has closed them.
+const brokenOutputEnv = "ACACIALOCK_TEST_BROKEN_OUTPUT"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(runAsProcessEnv) != "" {
+		if os.Getenv(brokenOutputEnv) != "" {
+			breakOutput()
+		}
 		os.Exit(run())
 	}
 	os.Exit(m.Run())
 }
 
+func breakOutput() {
+	var pipe [2]int
+	if err := syscall.Pipe(pipe[:]); err != nil {
+		panic(err)
+	}
+	for _, fd := range []int{1, 2} {
+		if err := syscall.Dup3(pipe[1], fd, 0); err != nil {
+			panic(err)
+		}
+	}
+	_ = syscall.Close(pipe[0]) // from now on each write fails with EPIPE and raises SIGPIPE
+}
+
 // startProcess starts acacialockd as a separate process on a site with a row store, and waits until it is ready.
 func startProcess(t *testing.T) *testsite.Node {
 	t.Helper()
@@ -58,3 +78,17 @@
 	assert.Assert(t, node.WaitExit(waitTimeout))
 	assert.NilError(t, node.ExitError())
 }
+
+// Guards against a node that ends because the reader of its log has ended: a write to a closed standard output raises
+// SIGPIPE, whose default action in Go is to end the process.
+func TestClosedLogOutputDoesNotEndTheNode(t *testing.T) {
+	t.Setenv(brokenOutputEnv, "1")
+	node := startProcess(t)
+	boots := node.Boots()
+	node.Signal(syscall.SIGHUP) // logs a line
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, node.Boots(), boots, "the process ended and was restarted")
+	node.SignalStop(syscall.SIGTERM)
+	assert.Assert(t, node.WaitExit(waitTimeout))
+	assert.NilError(t, node.ExitError())
+}
