--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -38,11 +38,11 @@
 	// jitter of up to half of it is added.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
-	// firstMemberRead and firstListRead are the times after a complete read at which a node without a reader reads the
-	// changes for the first time. When all nodes start together, most rows are written in the first second, and a node that
-	// knows them follows a reader before it reads the list again. A list that changes at that moment is in force 2 s later.
-	firstMemberRead = 1500 * time.Millisecond
-	firstListRead   = 2 * time.Second
+	// firstListRead is the time after a complete read at which a node without a reader reads the changes of the list for the
+	// first time. When all nodes start together, most rows are written in the first second, and a node that knows them
+	// follows a reader before it reads the list again. A list that changes at that moment is in force 2 s later. The changes
+	// of the members are read at once: a node that loses the store in its first second must know whom to follow.
+	firstListRead = 2 * time.Second
 	// pausePerMember, minMemberPause and maxMemberPause determine the pause after member changes, which batches further
 	// changes into one read. Every node reads each change: without a pause proportional to the number of members, the reads
 	// during a start or a release grow with the square of the number of nodes. The upper bound exists because a new member
@@ -138,7 +138,7 @@
 	d.ranking.Store(&initial)
 	d.members = &followedTable{
 		name: MembersTable, readWait: memberReadWait, pauseAfterChanges: d.memberPause, apply: d.applyMembers,
-		cancelRead: &d.cancelMemberRead, relay: d.relay, relayTable: &d.relay.members, firstReadDelay: firstMemberRead,
+		cancelRead: &d.cancelMemberRead, relay: d.relay, relayTable: &d.relay.members,
 	}
 	d.list = &followedTable{
 		name: config.List.Table, readWait: listReadWait, apply: d.applyList,
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -18,7 +18,7 @@
 type followedTable struct {
 	name     string
 	readWait time.Duration // long-poll timeout of one read of changes
-	// firstReadDelay is the time between the read of the complete table and the first read of changes.
+	// firstReadDelay is the time between the read of the complete table and the first read of changes; 0: none.
 	firstReadDelay time.Duration
 	// pauseAfterChanges returns the pause before the next read after a read that returned changes, which batches further
 	// changes into one read. Nil for no pause.
@@ -168,7 +168,7 @@
 		if table.tracksStore && !d.stopping.Load() {
 			d.relay.setSource(sourceStore)
 		}
-		if full && d.config.Peers != nil && !d.relay.hasFollowers() {
+		if full && table.firstReadDelay > 0 && d.config.Peers != nil && !d.relay.hasFollowers() {
 			// A reader found meanwhile makes the first read of changes unnecessary.
 			_ = timing.Sleep(ctx, table.firstReadDelay)
 			continue
