Log and count what a target names and receives under a limit

The timeline of requests beyond a named limit does not tell its three hypotheses apart: neither the limit nor the sends to a target are logged. All statements of a target on a response are now read in one place of the platform's folder, TargetProtocol.ParseReport, from every response and from the health path. Limits and departures are only logged so far.

--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -197,7 +197,9 @@
 		return failed
 	}
 	defer response.Body.Close()
-	e.handler.recordPace(response)
+	if report := e.handler.recordReport(response.Header, fromResponse); report.Pace > 0 {
+		e.handler.limiter.SetPace(report.Pace)
+	}
 	if refused := e.checkResponse(request, response); refused != nil {
 		e.handler.recordFailure(refused)
 		return refused
@@ -309,6 +311,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sentOnEarlierConn = e.wroteBytes()
+	e.handler.countSent(e.sentOnEarlierConn || e.forwarded.sends > 1)
 	e.conn = conn
 	conn.OnTargetClose(e.onTargetClosed)
 	e.writtenBefore = conn.BytesWritten()
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -73,9 +73,9 @@
 	// that it did not run the request, one with outcome unknown that the response can't be used. nil: the response is
 	// forwarded.
 	ValidateResponse(request *http.Request, response *http.Response) *failure.Error
-	// ParsePace reads from a response, including that of the health path, the factor by which work currently takes longer
-	// than usual at the target (1: as usual). It returns false if the header holds none.
-	ParsePace(header http.Header) (factor float64, ok bool)
+	// ParseReport returns what the target states about itself in the header of a response, including those of the health
+	// path and those that refuse a request.
+	ParseReport(header http.Header) TargetReport
 }
 
 // Handler serves wire.ForwardPath, rpc.Load, rpc.Attempts and rpc.Quarantine. It must not be mounted on an
@@ -90,6 +90,7 @@
 	target          atomic.Pointer[targetTransport]
 	healthTransport *http.Transport // for queries of the target's pace
 	drainHint       atomic.Int64    // time of the target's last drain hint in Unix nanoseconds; 0: none
+	reports         reportLog
 }
 
 // New returns a handler for the local target.
--- a/internal/inbound/pace.go
+++ b/internal/inbound/pace.go
@@ -4,12 +4,9 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/acacialock/acacialock/internal/wire"
 )
 
 const (
@@ -20,23 +17,6 @@
 	maxHealthBytes = 4 << 10
 )
 
-// parsePace returns the factor by which work takes longer than usual at the target, as given in a response header, or
-// false if the header holds none.
-func (h *Handler) parsePace(header http.Header) (float64, bool) {
-	if h.config.Protocol != nil {
-		return h.config.Protocol.ParsePace(header)
-	}
-	percent, err := strconv.ParseFloat(header.Get(wire.TargetPace), 64)
-	return percent / 100, err == nil && percent > 0
-}
-
-// recordPace passes the pace in a response, if any, to the limiter.
-func (h *Handler) recordPace(response *http.Response) {
-	if factor, ok := h.parsePace(response.Header); ok {
-		h.limiter.SetPace(factor)
-	}
-}
-
 // PaceAge returns the age of the last reading of the target's pace, or -1 ms if there is none.
 func (h *Handler) PaceAge() time.Duration { return h.limiter.PaceAge() }
 
@@ -56,7 +36,8 @@
 		logPaceError(h.config.Self.ID, err) // the limiter admits requests without a reading
 		return 0, false
 	}
-	return h.parsePace(response.Header)
+	report := h.recordReport(response.Header, fromHealth)
+	return report.Pace, report.Pace > 0
 }
 
 // CheckHealth sends a GET request to the health path of the target at addr and returns the response, whose body is
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -26,6 +26,7 @@
 	deadline time.Time
 	rank     admission.Request
 	url      *url.URL // path and query as sent by the caller
+	sends    int      // sends of the call so far, this one included; 0: not known
 }
 
 // parse checks that the request is addressed to this incarnation of the node and parses its headers.
@@ -56,6 +57,7 @@
 		}
 		forwarded.rank.Kind, forwarded.rank.Priority, forwarded.rank.SoftDeadline = kind, priority, time.Now().Add(softTimeout)
 	}
+	forwarded.sends, _ = strconv.Atoi(r.Header.Get(wire.Attempts)) // only counted, so an invalid value does no harm
 	if refused := h.parseCall(r, forwarded); refused != nil {
 		return nil, refused
 	}
