Keep the requests of all nodes within the limit that a target names

Cause: a target names its limit on its responses, and nobody read it. The node beside a target bounds how many requests run at once; 9 slots at 100 ms admit 90 requests/s.

Every request reaches a target through the node beside it, whichever node it began at and whether it is a first send, a retry, a hedge, an inner or a relayed call. That node now admits requests by a token bucket at the rate that the target names, and counts sends that net/http repeats by itself. It reads the limit from each response whatever its status, and from the health path, which it reads before its first request. What the limit does not admit goes to another target (target-limited, a move), waits if it is admitted in time (purchases before lookups, each waiting kind at least one in four), or is refused at once with the time until it is admitted. Nodes pass the limit on with responses and return it with requests, so that a restarted node knows it before the first request. Balancers avoid members that accept nothing now and do not offer requests of another region to a limited target.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -51,6 +51,9 @@
 	idle             chan struct{} // closed when nothing is in flight or queued; nil when no drain waits
 
 	breaker         breaker
+	rate            rateLimit
+	grantScheduled  bool      // a timer for the next request that rate admits runs
+	heardTarget     time.Time // when the last report of the target itself was applied
 	pace            paceTracker
 	readPace        func() (factor float64, ok bool) // nil: requests start whatever the pace
 	paceReadPending bool                             // a read is running or scheduled
@@ -144,13 +147,16 @@
 
 // Acquire waits for a slot like AcquireByDeadline or, if request.Exclusive is set, like AcquireExclusive. If the queue
 // is full, a request of higher rank replaces the one of lowest rank in it. Besides the reasons of AcquireByDeadline, an
-// error can have the reasons target-slow and target-failing if request.HasAlternative is set, and target-busy if
-// request.CanOverflow is set.
+// error can have the reasons target-slow and target-failing if request.HasAlternative is set, target-busy if
+// request.CanOverflow is set, and target-limited if the limit that the target names does not admit the request now or, for
+// one without an alternative, before its deadline.
 func (l *Limiter) Acquire(ctx context.Context, request Request) (*Slot, *failure.Error) {
 	now := time.Now()
 	w := &waiter{Request: request, result: make(chan result, 1)}
 	l.mu.Lock()
 	w.serviceTime = l.times.estimate(request.Kind, l.slotLimit())
+	l.rate.refill(now)
+	w.starved = l.rate.isStarved(w.Kind) && !l.queue.hasStarved(w.Kind)
 	if refusal := l.checkAdmission(now, w); refusal != nil {
 		l.mu.Unlock()
 		return nil, refusal
@@ -159,6 +165,11 @@
 		l.mu.Unlock()
 		return nil, targetFailingError()
 	}
+	if wait := l.limitWait(l.queue.countAhead(w, now), now); wait > 0 && (w.HasAlternative || w.Overflow) && !w.Exclusive {
+		refusal := l.limitRefusal(wait)
+		l.mu.Unlock()
+		return nil, refusal
+	}
 	l.exclusiveClaimed = l.exclusiveClaimed || w.Exclusive
 	held := l.heldByPace(w, now)
 	if len(l.queue.waiters) == 0 && l.canStart(w.Exclusive) && !held {
@@ -179,7 +190,7 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
-	if w.CanOverflow && !w.Exclusive && !held && l.hasBacklog() && w.hasOverflowSlack(now) {
+	if w.CanOverflow && !w.Exclusive && !held && w.hasOverflowSlack(now) && (l.hasBacklog() || l.limitDelays(w, now)) {
 		refusal := failure.New(failure.TargetBusy, failure.NotRun, "%d requests run and %d wait", l.inFlight, len(l.queue.waiters))
 		l.mu.Unlock()
 		return nil, refusal
@@ -191,6 +202,8 @@
 	if held {
 		l.schedulePaceRead(now)
 	}
+	l.refuseUnreachable(now)
+	l.scheduleGrant(now)
 	maxWait := l.maxWait(now, w)
 	l.mu.Unlock()
 	return l.wait(ctx, w, maxWait)
@@ -221,7 +234,11 @@
 		return l.withRetryAfter(
 			failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(l.queue.waiters)))
 	}
-	if need := l.expectedLatency(l.queue.countAhead(w, now), w.serviceTime); remaining < need {
+	ahead := l.queue.countAhead(w, now)
+	if !l.limitAdmitsInTime(w, ahead, now) {
+		return l.limitRefusal(l.limitWait(len(l.queue.waiters), now))
+	}
+	if need := l.expectedLatency(ahead, w.serviceTime); remaining < need {
 		return l.withRetryAfter(
 			failure.New(failure.DeadlineUnreachable, failure.NotRun, "%v are left, %v are needed", remaining, need))
 	}
@@ -230,7 +247,8 @@
 
 // withRetryAfter sets RetryAfter to the estimated time until all requests queued now have started, and returns refusal.
 func (l *Limiter) withRetryAfter(refusal *failure.Error) *failure.Error {
-	refusal.RetryAfter = l.expectedLatency(len(l.queue.waiters), 0)
+	waiting := len(l.queue.waiters)
+	refusal.RetryAfter = max(l.expectedLatency(waiting, 0), l.limitWait(waiting, time.Now()))
 	return refusal
 }
 
@@ -244,8 +262,12 @@
 	return w.before(l.queue.waiters[last], now)
 }
 
-// canStart reports whether the number of requests in flight allows another one to start now.
+// canStart reports whether the number of requests in flight and the limit that the target names allow another one to start
+// now.
 func (l *Limiter) canStart(exclusive bool) bool {
+	if l.rate.active() && l.limitWait(0, time.Now()) > 0 {
+		return false
+	}
 	if exclusive {
 		return l.inFlight == 0
 	}
@@ -284,6 +306,7 @@
 // grantSlot counts a request as in flight and returns its slot. The mutex is held.
 func (l *Limiter) grantSlot(w *waiter, now time.Time) *Slot {
 	l.inFlight++
+	l.rate.take(w.Kind)
 	l.exclusive = w.Exclusive
 	return &Slot{limiter: l, exclusive: w.Exclusive, kind: w.Kind, load: l.inFlight, started: now, slow: l.pace.isSlow(now)}
 }
@@ -336,6 +359,7 @@
 		w := l.queue.remove(next)
 		w.result <- l.grantOrRefuse(w, now)
 	}
+	l.scheduleGrant(now)
 	if l.idle != nil && l.inFlight == 0 && len(l.queue.waiters) == 0 {
 		close(l.idle)
 		l.idle = nil
@@ -385,8 +409,12 @@
 	defer l.mu.Unlock()
 	latency := l.times.averageNear(l.inFlight + 1)
 	queued := len(l.queue.waiters)
+	limitWait := l.limitWait(queued, time.Now())
 	if l.inFlight >= l.slotLimit() || queued > 0 || l.exclusive {
 		latency = l.expectedLatency(queued, l.times.averageNear(l.slotLimit()))
 	}
+	if limitWait > 0 {
+		latency = max(latency, limitWait+l.times.averageNear(l.inFlight+1))
+	}
 	return wire.LoadSample{InFlight: l.inFlight, Queued: queued, Latency: latency, Draining: l.draining}
 }
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -176,14 +176,23 @@
 
 // refreshPace reads the pace and applies it, or delays the next read if that failed.
 func (l *Limiter) refreshPace() {
+	l.mu.Lock()
+	if l.rate.active() && time.Now().Before(l.pace.nextRead) {
+		l.paceReadPending = false
+		l.grantQueued()
+		l.mu.Unlock()
+		return
+	}
+	l.mu.Unlock()
 	factor, ok := l.readPace()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.paceReadPending = false
-	if ok {
-		l.applyPace(factor)
+	if !ok {
+		l.pace.readFailed(time.Now())
+		l.grantQueued()
 		return
 	}
-	l.pace.readFailed(time.Now())
-	l.grantQueued()
+	l.delayHealthReads(time.Now())
+	l.applyPace(factor)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,6 +35,7 @@
 	sequence     uint64        // sequence number in order of arrival
 	serviceTime  time.Duration // expected service time; 0: unknown
 	refuseIfSlow bool          // may be refused while queued because the target is slow
+	starved      bool          // the next request that the target's limit admits is this kind's; see rateLimit.isStarved
 	result       chan result   // buffered, receives one value
 }
 
@@ -57,8 +59,12 @@
 // services call: without it, short calls on behalf of requests that had already run for long were refused behind long
 // new requests, and the work of their callers was lost. Within a priority, requests that can still meet their soft
 // deadline come first, by earliest soft deadline, so that few miss it while the queue is short; requests that are late
-// already don't take slots from them when the queue is long.
+// already don't take slots from them when the queue is long. Under a limit of the target, a kind that got none of the last
+// requests goes first.
 func (w *waiter) before(other *waiter, now time.Time) bool {
+	if w.starved != other.starved {
+		return w.starved
+	}
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
@@ -122,6 +128,11 @@
 	return count
 }
 
+// hasStarved reports whether a request of the kind waits that goes first because its kind got none of the last requests.
+func (q *queue) hasStarved(kind string) bool {
+	return slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.starved && w.Kind == kind })
+}
+
 func (q *queue) remove(i int) *waiter {
 	w := q.waiters[i]
 	q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -53,7 +53,10 @@
 
 // Pick is the member selected for one attempt.
 type Pick struct {
-	Member             cluster.Member
+	Member cluster.Member
+	// Limited is true if every member that may be selected accepts no request at the moment, by the limits that the targets
+	// name. Member is then the one that accepts the next.
+	Limited            bool
 	done               func(Result)
 	reportUnresponsive func()
 }
@@ -95,6 +98,10 @@
 type Result struct {
 	Class  Class
 	Reason failure.Reason // cause of a refusal or failure
+	// LimitNamed is true if the member's target names a limit for the requests per second that it accepts.
+	LimitNamed bool
+	// RetryAfter is the time after which the member's node expects to admit a request; 0: not known.
+	RetryAfter time.Duration
 	// CurrentID is the id of the member's node since its restart, if the refusal carries it. Later picks use it until
 	// Update supplies the new member.
 	CurrentID string
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -29,6 +29,11 @@
 		// Reachability checks can be wrong, so lost members are still tried when no other member is left.
 		allowed = slices.DeleteFunc(allowed, func(candidate *memberState) bool { return candidate.reachability.lost })
 	}
+	allowed, limited := withRoom(allowed, now)
+	if limited {
+		p.allowed = allowed
+		return allowed[0], p.expectedResponseTime(allowed[0], now)
+	}
 	for _, candidate := range allowed {
 		if p.isHealthy(candidate, now) {
 			healthy = append(healthy, candidate)
@@ -48,6 +53,28 @@
 	return p.chooseByLocality(p.addRefusedInRegion(healthy, allowed, now), now)
 }
 
+// withRoom removes the members whose targets accept no request now, by their own limits. If that leaves none, it returns
+// true and only the member that accepts the next request. It answers limits on most targets of a service: the others would
+// otherwise share the requests with targets that refuse them.
+func withRoom(allowed []*memberState, now time.Time) ([]*memberState, bool) {
+	var next *memberState
+	unlimited := 0
+	for _, candidate := range allowed {
+		if !now.Before(candidate.limitedUntil) {
+			unlimited++
+		} else if next == nil || candidate.limitedUntil.Before(next.limitedUntil) {
+			next = candidate
+		}
+	}
+	switch {
+	case next == nil:
+		return allowed, false
+	case unlimited == 0:
+		return append(allowed[:0], next), true
+	}
+	return slices.DeleteFunc(allowed, func(candidate *memberState) bool { return now.Before(candidate.limitedUntil) }), false
+}
+
 // ownRegionAvailable reports whether a member of the node's own region is reachable, not draining and without a
 // recent failure. Members that are full or were already tried for the call count as well.
 func (p *Pool) ownRegionAvailable(now time.Time) bool {
--- a/internal/balance/memberstate.go
+++ b/internal/balance/memberstate.go
@@ -23,6 +23,10 @@
 	slowStart    slowStart
 
 	refusedUntil time.Time // avoided after a refusal because the target is full, slow or failing
+	// limitedUntil is the time until which the member's target accepts no request, by its own limit.
+	limitedUntil time.Time
+	// limitNamedUntil is the time until which the member's target is assumed to name a limit.
+	limitNamedUntil time.Time
 	// failedUntil is the time until which the member is avoided after a failed attempt, or after a refusal because its
 	// target can't be connected to or the member no longer exists.
 	failedUntil time.Time
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -94,6 +94,7 @@
 	}
 	p.mu.Lock()
 	chosen, expectedSeconds := p.choose(&request, now)
+	limited := chosen != nil && now.Before(chosen.limitedUntil)
 	members := len(p.states)
 	var member cluster.Member
 	trial := false
@@ -111,6 +112,7 @@
 		return Pick{}, noTarget(p.config.Service, members)
 	}
 	pick := NewPick(member, p.doneOnce(chosen, trial, now))
+	pick.Limited = limited
 	pick.reportUnresponsive = func() { p.requestCheck(chosen) }
 	return pick, nil
 }
@@ -160,6 +162,9 @@
 		}
 		state.recordSample(*result.Sample, at)
 	}
+	if result.LimitNamed {
+		state.limitNamedUntil = now.Add(limitMemory)
+	}
 	if state.distance == otherRegion {
 		p.overflow.recordResult(result, now)
 	}
@@ -167,7 +172,7 @@
 	case OK:
 		p.updateReachability(state, "answer",
 			func() { state.reachability = reachability{checking: state.reachability.checking} })
-		state.refusedUntil, state.failedUntil = time.Time{}, time.Time{}
+		state.refusedUntil, state.failedUntil, state.limitedUntil = time.Time{}, time.Time{}, time.Time{}
 		state.health.recordSuccess(p.serviceTime(state, result))
 		p.ejectIfOutlier(state, now)
 	case Refused:
@@ -175,7 +180,7 @@
 			state.currentID = result.CurrentID
 			return
 		}
-		state.recordRefusal(result.Reason, now)
+		state.recordRefusal(&result, now)
 	case Failed:
 		if p.config.CheckReachable != nil {
 			p.updateReachability(state, string(result.Reason),
@@ -200,14 +205,21 @@
 	slowCooldown = 50 * time.Millisecond
 	// failureCooldown covers a reconnect and a few further attempts before there are enough results for an ejection.
 	failureCooldown = 200 * time.Millisecond
+	// limitMemory is the time for which a member is known to name a limit after its last response. Members of another region
+	// are tried once in this time, over a link that is billed.
+	limitMemory = 2 * time.Second
+	// maxLimitedTime is the longest time for which a refusal by a target's limit is remembered: the limit may end earlier.
+	maxLimitedTime = time.Second
 	// removedCooldown covers the time until the member set drops a restarted or unknown member.
 	removedCooldown = 5 * time.Second
 )
 
 // recordRefusal avoids the member for a cooldown that depends on the reason. Refusals that concern the request rather
 // than the target have no effect.
-func (s *memberState) recordRefusal(reason failure.Reason, now time.Time) {
-	switch reason {
+func (s *memberState) recordRefusal(result *Result, now time.Time) {
+	switch result.Reason {
+	case failure.TargetLimited:
+		s.limitedUntil = now.Add(min(max(result.RetryAfter, refusalCooldown), maxLimitedTime))
 	case failure.Draining:
 		s.draining = true
 	case failure.WrongIncarnation, failure.WrongService, failure.WrongTarget:
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,6 +35,10 @@
 	StoreLost bool   `json:"store_lost"` // the node's last read of the store failed
 	InFlight  int    `json:"in_flight"`  // requests being served by the local target
 	Queued    int    `json:"queued"`     // requests waiting for the local target
+	// Limit is the number of requests per second that the local target accepts from all nodes together, as it states; 0: it
+	// states no limit. LimitAgeMS is the time in milliseconds since it last did.
+	Limit      float64 `json:"limit,omitempty"`
+	LimitAgeMS int64   `json:"limit_age_ms,omitempty"`
 }
 
 // Snapshot is the state of the system as known to a node. It is immutable once published.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,7 @@
 	grant              *grantHeaders // keyed calls only
 	overflow           bool          // the node must refuse the attempt unless a slot is free
 	canOverflow        bool          // another region may take the call if the node has no free slot
+	carriesState       bool          // the request returns a statement of the target to its node
 	generation         *forward.Generation
 	cancel             context.CancelFunc
 	started            time.Time
@@ -53,8 +54,11 @@
 	memberID  string // id of the member that the attempt was sent to
 	currentID string // id of the member that its node serves since a restart; empty: unknown
 	sample    *wire.LoadSample
-	latency   time.Duration // to the first byte
-	overflow  bool          // the attempt was offered to another region
+	// limitNamed is true if the target names a limit for the requests per second that it accepts.
+	limitNamed bool
+	latency    time.Duration // to the first byte
+	overflow   bool          // the attempt was offered to another region
+	pinned     bool          // the node was told not to refuse the call because its target is slow, failing or limited
 }
 
 // roundTripResult holds the return values of a round trip.
@@ -153,6 +157,10 @@
 	if a.member.Region != a.call.snapshot.Self.Region {
 		header.Set(wire.Link, "1")
 	}
+	if state := a.handler.states.header(a.member.PeerAddr, time.Now()); state != "" {
+		header.Set(wire.TargetStatus, state)
+		a.carriesState = true
+	}
 	if a.grant != nil {
 		header.Set(wire.KeyOwner, a.grant.owner)
 		header.Set(wire.RosterVersion, strconv.FormatUint(a.grant.rosterVersion, 10))
@@ -186,6 +194,8 @@
 		res.sample = &sample
 	}
 	reason := response.Header.Get(wire.Reason)
+	state := a.handler.states.record(a.member.PeerAddr, response.Header.Get(wire.TargetStatus), reason == "", a.carriesState, time.Now())
+	res.limitNamed = state.Limit > 0
 	if reason == "" {
 		response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: a.cancel}
 		return res
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -43,6 +43,7 @@
 type Handler struct {
 	config    Config
 	latencies *latencies
+	states    targetStates
 	// stopped is cancelled at endCallsBy, when all remaining calls must end because the node stops. endCallsBy is set
 	// before.
 	stopped    context.Context
@@ -161,10 +162,10 @@
 	if res.response != nil {
 		h.config.Metrics.ObserveDuration("latency.entry."+c.service.Name+".us", res.latency)
 	}
-	report := balance.Result{Sample: res.sample, Latency: res.latency, CurrentID: res.currentID}
+	report := balance.Result{Sample: res.sample, Latency: res.latency, CurrentID: res.currentID, LimitNamed: res.limitNamed}
 	if res.failed != nil {
 		h.logAttempt(c, pick, res.failed)
-		report.Class, report.Reason = classify(res.failed), res.failed.Reason
+		report.Class, report.Reason, report.RetryAfter = classify(res.failed), res.failed.Reason, res.failed.RetryAfter
 	}
 	pick.Done(report)
 	res.memberID = pick.Member.ID
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -59,7 +59,7 @@
 		c.sends--
 		return h.launchRetry(ctx, c, policy, results) == nil
 	}
-	if h.allowRetry(c, policy, res) {
+	if !res.endsInRegion() && h.allowRetry(c, policy, res) {
 		if res.failed.Reason == failure.TargetBusy && h.launchOverflow(ctx, c, policy, results) == nil {
 			return true
 		}
@@ -71,6 +71,12 @@
 	return h.allowOverflow(c, res) && h.launchOverflow(ctx, c, policy, results) == nil
 }
 
+// endsInRegion reports whether no member of the region admits the call: the one that accepts the next request refused it by
+// its target's limit. A further try there would only repeat the refusal.
+func (r *result) endsInRegion() bool {
+	return r.pinned && !r.overflow && r.failed.Reason == failure.TargetLimited
+}
+
 // discardLosers closes the responses of the pending attempts, after another attempt has won.
 func discardLosers(results chan result, pending int) {
 	if pending == 0 {
@@ -98,10 +104,11 @@
 	}
 	a := h.newAttempt(c, pick)
 	a.overflow = request.Overflow
+	a.pinned = a.pinned || pick.Limited
 	a.canOverflow = !a.overflow && h.canOverflowEarly(c, policy)
 	go func() {
 		res := h.reportResult(c, pick, a.runRecovered(ctx))
-		res.overflow = a.overflow
+		res.overflow, res.pinned = a.overflow, a.pinned
 		results <- res
 	}()
 	return nil
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -45,6 +45,7 @@
 	TargetSlow            Reason = "target-slow"    // the target is slow at the moment; another may be faster
 	TargetFailing         Reason = "target-failing" // the target fails most requests; another may succeed
 	TargetBusy            Reason = "target-busy"    // no slot is free, and another region may have one
+	TargetLimited         Reason = "target-limited" // the target's own limit admits no request now; another may have room
 
 	// Reasons for calls with an Idempotency-Key.
 	BadIdempotencyKey   Reason = "bad-idempotency-key"
@@ -83,4 +84,6 @@
 }
 
 // IsMove reports whether a request refused for this reason is sent to another target. Such a request has not run.
-func (r Reason) IsMove() bool { return r == TargetSlow || r == TargetFailing || r == TargetBusy }
+func (r Reason) IsMove() bool {
+	return r == TargetSlow || r == TargetFailing || r == TargetBusy || r == TargetLimited
+}
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -311,6 +311,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sentOnEarlierConn = e.wroteBytes()
+	if e.sentOnEarlierConn {
+		e.handler.limiter.CountUnplannedSend()
+	}
 	e.handler.countSent(e.sentOnEarlierConn || e.forwarded.sends > 1)
 	e.conn = conn
 	conn.OnTargetClose(e.onTargetClosed)
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -53,6 +53,15 @@
 	// OnFullSpeedConcurrency is called with the number of concurrent requests up to which the target does not slow down,
 	// once that has been determined; nil: it is not shared.
 	OnFullSpeedConcurrency func(requests int)
+	// TargetID is the id of the target, with which its reports are compared; empty: every report is the target's.
+	TargetID string
+	// TargetBoot identifies the start of the target in the statements that nodes pass on to each other, see
+	// wire.BootDigest; empty: none are adopted from other nodes.
+	TargetBoot string
+	// OnLeaving is called for each report in which the target states that it leaves; nil: no call. It must be fast.
+	OnLeaving func(source string)
+	// OnOtherReport is called for a report of another target, which now has the address; nil: no call.
+	OnOtherReport func(report TargetReport)
 	// OnWrongTarget is called when a response came from a target other than the expected one; nil: no call.
 	OnWrongTarget func()
 	// RemainingWarmUp is the remaining duration of the warm-up after the start of the target.
@@ -91,6 +100,7 @@
 	healthTransport *http.Transport // for queries of the target's pace
 	drainHint       atomic.Int64    // time of the target's last drain hint in Unix nanoseconds; 0: none
 	reports         reportLog
+	leavingHeardAt  atomic.Int64 // when the target last stated that it leaves, in Unix nanoseconds; 0: never
 }
 
 // New returns a handler for the local target.
@@ -142,6 +152,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.applyLimits()
+	h.adoptState(r)
 	if refused := h.serve(w, r); refused != nil {
 		h.refuse(w, r, refused)
 	}
@@ -239,8 +250,12 @@
 	_, _ = w.Write([]byte(failed.Detail + "\n")) // the entry node may have disconnected
 }
 
-// addLoadSample adds the load sample to a response header if the measuring budget allows it.
+// addLoadSample adds what the target states about itself to a response header and, if the measuring budget allows it, the
+// load sample.
 func (h *Handler) addLoadSample(header http.Header, r *http.Request) {
+	if state := h.targetState(); !state.IsZero() {
+		header.Set(wire.TargetStatus, state.String())
+	}
 	if h.config.AllowLoadSample == nil || h.config.AllowLoadSample(r.Header.Get(wire.Link) != "") {
 		header.Set(wire.Load, h.limiter.LoadSample().String())
 	}
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -13,12 +13,13 @@
 var internalRequestHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
 	wire.RosterVersion, wire.NotAfter, wire.TimeoutMS, wire.Rank, wire.Stay, wire.Overflow, wire.CanOverflow,
+	wire.TargetStatus,
 }
 
 // internalResponseHeaders are set by nodes only and are removed from the target's responses: a target could use them to
 // claim that a request was not run.
 var internalResponseHeaders = []string{wire.RetryAfterMS, wire.Load, wire.Reason, wire.Outcome,
-	wire.TargetDraining, wire.CurrentMember}
+	wire.TargetDraining, wire.CurrentMember, wire.TargetStatus}
 
 // targetHeader returns the header of the request to the target; a zero notAfter is omitted.
 func targetHeader(received http.Header, deadline, notAfter time.Time) http.Header {
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/acacialock/acacialock/internal/admission"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -23,12 +24,10 @@
 	Err error
 }
 
-// reportSource is where a report was received, as logged.
-type reportSource string
-
+// Sources of reports, as logged.
 const (
-	fromResponse reportSource = "response" // a response to a request
-	fromHealth   reportSource = "health"   // a response of the health path
+	fromResponse = "response" // a response to a request
+	fromHealth   = "health"   // a response of the health path
 )
 
 const (
@@ -64,15 +63,72 @@
 	return report
 }
 
-// recordReport applies what the target states about itself in a response header. It returns the report.
-func (h *Handler) recordReport(header http.Header, source reportSource) TargetReport {
+// recordReport applies what the target states about itself in a response header, whatever its status. It returns the report.
+func (h *Handler) recordReport(header http.Header, source string) TargetReport {
 	report := h.parseReport(header)
-	h.logReport(&report, source)
+	if report.TargetID != "" && h.config.TargetID != "" && report.TargetID != h.config.TargetID {
+		if h.config.OnOtherReport != nil {
+			h.config.OnOtherReport(report)
+		}
+		return TargetReport{}
+	}
+	h.ApplyReport(report, source)
 	return report
 }
 
+// ApplyReport applies what the target states about itself; source is logged. Of an invalid report, a limit is ignored.
+func (h *Handler) ApplyReport(report TargetReport, source string) {
+	h.logReport(&report, source)
+	if report.Err == nil {
+		h.limiter.ReportLimit(report.Limit, report.LimitNamed)
+	}
+	if report.Leaving && h.config.OnLeaving != nil {
+		h.leavingHeardAt.Store(time.Now().UnixNano())
+		h.config.OnLeaving(source)
+	}
+}
+
+// RateLimit returns the limit that the target names.
+func (h *Handler) RateLimit() admission.RateLimit { return h.limiter.RateLimit() }
+
+// targetState returns what the target stated about itself, for other nodes.
+func (h *Handler) targetState() wire.TargetState {
+	limit := h.limiter.RateLimit()
+	state := wire.TargetState{Limit: limit.Rate, Boot: h.config.TargetBoot}
+	heardAt := limit.HeardAt
+	if at := h.leavingHeardAt.Load(); at != 0 {
+		state.Leaving, heardAt = true, time.Unix(0, at)
+	}
+	if !state.IsZero() {
+		state.Age = max(0, time.Since(heardAt))
+	}
+	return state
+}
+
+// adoptState applies what the sender of a request heard from the target before this process did: the process may have
+// started since. Statements of another start of the target are ignored.
+func (h *Handler) adoptState(r *http.Request) {
+	text := r.Header.Get(wire.TargetStatus)
+	if text == "" || h.config.TargetBoot == "" {
+		return
+	}
+	state, err := wire.ParseTargetState(text)
+	if err != nil || state.Boot != h.config.TargetBoot {
+		return
+	}
+	heardAt := time.Now().Add(-state.Age)
+	if state.Limit > 0 && h.limiter.AdoptLimit(state.Limit, heardAt) {
+		klog.InfoS("limit of the target learned from another node", "member", h.config.Self.ID, "limit", state.Limit, "age", state.Age)
+		h.config.Metrics.Counter("target.limit-adopted").Inc(1)
+	}
+	if state.Leaving && h.config.OnLeaving != nil && !h.limiter.HeardTargetSince(heardAt) {
+		h.leavingHeardAt.CompareAndSwap(0, heardAt.UnixNano())
+		h.config.OnLeaving("node")
+	}
+}
+
 // logReport counts and logs invalid reports and changes of the named limit, and the requests sent while one is named.
-func (h *Handler) logReport(report *TargetReport, source reportSource) {
+func (h *Handler) logReport(report *TargetReport, source string) {
 	log, now := &h.reports, time.Now()
 	log.mu.Lock()
 	defer log.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 }
 
 func (n *Node) newHandler(member cluster.Member, checkIn *CheckIn) *inbound.Handler {
+	boot := bootID{checkIn.TargetID, checkIn.StartedAt}
 	return inbound.New(inbound.Config{
 		Self:                   member,
 		View:                   n.view,
@@ -156,6 +157,8 @@
 		RequestIDHeader:        n.platform.RequestIDHeader(),
 		Slots:                  checkIn.Slots,
 		OnFullSpeedConcurrency: n.target.setFullSpeed,
+		TargetID:               boot.targetID,
+		TargetBoot:             wire.BootDigest(boot.targetID, boot.startedAt),
 		OnWrongTarget:          func() { n.target.dropResumedBoot(checkIn.TargetID) },
 		RemainingWarmUp:        checkIn.RemainingWarmUp,
 		ReadAheadBytes:         readAheadBytes,
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -27,6 +28,9 @@
 	if current := n.target.current.Load(); current != nil {
 		load := current.handler.LoadSample()
 		state.InFlight, state.Queued = load.InFlight, load.Queued
+		if limit := current.handler.RateLimit(); limit.Rate > 0 {
+			state.Limit, state.LimitAgeMS = limit.Rate, time.Since(limit.HeardAt).Milliseconds()
+		}
 	}
 	return state
 }
@@ -46,6 +50,9 @@
 		"list.age.ms":      n.directory.ListAge().Milliseconds(),
 		"store.lost":       storeLost,
 		"pace.age.ms":      n.target.paceAge().Milliseconds(),
+		// Gauges are integers, and limits may be below one request per second.
+		"target.limit.milli":  int64(1000 * state.Limit),
+		"target.limit.age.ms": state.LimitAgeMS,
 	} {
 		n.metrics.Gauge(name).Update(value)
 	}
--- a/internal/operator/nodes.go
+++ b/internal/operator/nodes.go
@@ -165,7 +165,7 @@
 	}
 	columns := "ZONE\tNODE\tSERVICE\tTARGET\tSTATE\tROW"
 	if r.queried {
-		columns += "\tREADY\tLIST\tMEMBERS\tREADER\tIN FLIGHT\tQUEUED"
+		columns += "\tREADY\tLIST\tMEMBERS\tREADER\tIN FLIGHT\tQUEUED\tLIMIT"
 	}
 	return head + table(columns, func(w io.Writer) {
 		for _, node := range r.Nodes {
@@ -189,7 +189,16 @@
 	return "serving"
 }
 
-// nodeStateText returns the columns READY to QUEUED of a node, or the reason why the node did not respond.
+// limitText returns the limit that the node's target names, with its age.
+func limitText(state *cluster.NodeState) string {
+	if state.Limit == 0 {
+		return "-"
+	}
+	age := time.Duration(state.LimitAgeMS) * time.Millisecond
+	return fmt.Sprintf("%.4g/s (%v ago)", state.Limit, age)
+}
+
+// nodeStateText returns the columns READY to LIMIT of a node, or the reason why the node did not respond.
 func nodeStateText(node NodeStatus) string {
 	if node.State == nil {
 		return "no answer: " + node.Problem
@@ -201,6 +210,6 @@
 	case reader == "":
 		reader = "store"
 	}
-	return fmt.Sprintf("%t\t%d\t%d\t%s\t%d\t%d", node.State.Ready, node.State.ListVersion, node.State.Members, reader,
-		node.State.InFlight, node.State.Queued)
+	return fmt.Sprintf("%t\t%d\t%d\t%s\t%d\t%d\t%s", node.State.Ready, node.State.ListVersion, node.State.Members, reader,
+		node.State.InFlight, node.State.Queued, limitText(node.State))
 }
--- a/internal/wire/limit_test.go
+++ b/internal/wire/limit_test.go
@@ -46,3 +46,18 @@
 		assert.Assert(t, err != nil || limit >= 0 && !math.IsInf(limit, 0) && !math.IsNaN(limit), "%q: %v", text, limit)
 	})
 }
+
+// Guards against a state of another node's target that ends the process or changes when it is passed on.
+func FuzzParseTargetState(f *testing.F) {
+	f.Add("13.6,0,120,9c41d07be2a35f68")
+	f.Add("0,1,5,")
+	f.Fuzz(func(t *testing.T, text string) {
+		state, err := ParseTargetState(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseTargetState(state.String())
+		assert.NilError(t, err, "%q", state.String())
+		assert.Equal(t, again, state)
+	})
+}
