Drain a target that states on its responses that it leaves

Callers would have been cut off: a worker that states its departure on its responses, before or without a draining check-in, kept getting requests until it was gone.

What a target states about itself on its responses was not read at all; only check-ins drained it. Now a departure that any response or the health path states closes the queue like a draining check-in and is written to the node's row, for that start of the target only. Other nodes return it with their requests, so that a restarted node knows it, and the node reads the health path when it starts. A departure that is withdrawn does not lose the target for good: if it goes on checking in as ready and its health path has shown none for 10 s, it is used again under a new member id. A health path without a limit does not end one.

--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,9 +98,10 @@
 	limiter := New(Limits{Slots: 9, Queue: 9})
 	limiter.ReportLimit(rate, true)
 	results := make(chan string, 10_000)
+	var requests sync.WaitGroup
 	offer := func(kind string, priority int, interval time.Duration) {
 		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(interval) {
-			go func() {
+			requests.Go(func() {
 				slot, refused := limiter.Acquire(context.Background(), Request{
 					Kind: kind, Priority: priority, Deadline: time.Now().Add(time.Second), SoftDeadline: time.Now().Add(400 * time.Millisecond),
 				})
@@ -108,12 +110,14 @@
 					slot.Release(true)
 					results <- kind
 				}
-			}()
+			})
 		}
 	}
-	go offer("purchase", 1, purchases)
-	offer("lookup", 2, lookups)
-	time.Sleep(2 * time.Second)
+	var callers sync.WaitGroup
+	callers.Go(func() { offer("purchase", 1, purchases) })
+	callers.Go(func() { offer("lookup", 2, lookups) })
+	callers.Wait()
+	requests.Wait()
 	close(results)
 	for kind := range results {
 		ran[kind]++
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -28,6 +28,7 @@
 const (
 	fromResponse = "response" // a response to a request
 	fromHealth   = "health"   // a response of the health path
+	fromNode     = "node"     // another node, which heard it before this process did
 )
 
 const (
@@ -72,14 +73,15 @@
 		}
 		return TargetReport{}
 	}
-	h.ApplyReport(report, source)
+	h.applyReport(report, source)
 	return report
 }
 
-// ApplyReport applies what the target states about itself; source is logged. Of an invalid report, a limit is ignored.
-func (h *Handler) ApplyReport(report TargetReport, source string) {
+// applyReport applies what the target states about itself; source is logged. Of an invalid report, a limit is ignored. A health
+// path without a limit does not end one: targets may name it on the responses to requests only.
+func (h *Handler) applyReport(report TargetReport, source string) {
 	h.logReport(&report, source)
-	if report.Err == nil {
+	if report.Err == nil && (report.LimitNamed || source != fromHealth) {
 		h.limiter.ReportLimit(report.Limit, report.LimitNamed)
 	}
 	if report.Leaving && h.config.OnLeaving != nil {
@@ -88,6 +90,12 @@
 	}
 }
 
+// ApplyHealth applies what the target stated about itself in a response of its health path.
+func (h *Handler) ApplyHealth(report TargetReport) { h.applyReport(report, fromHealth) }
+
+// ApplyResponse applies what the target stated about itself in response to a request for an earlier target.
+func (h *Handler) ApplyResponse(report TargetReport) { h.applyReport(report, fromResponse) }
+
 // RateLimit returns the limit that the target names.
 func (h *Handler) RateLimit() admission.RateLimit { return h.limiter.RateLimit() }
 
@@ -123,7 +131,7 @@
 	}
 	if state.Leaving && h.config.OnLeaving != nil && !h.limiter.HeardTargetSince(heardAt) {
 		h.leavingHeardAt.CompareAndSwap(0, heardAt.UnixNano())
-		h.config.OnLeaving("node")
+		h.config.OnLeaving(fromNode)
 	}
 }
 
@@ -143,6 +151,9 @@
 	if source == fromHealth {
 		log.healthReads++
 	}
+	if source == fromHealth && !report.LimitNamed {
+		return
+	}
 	if (report.LimitNamed != log.named || report.Limit != log.limit) && !now.Before(log.nextChange) {
 		log.nextChange = now.Add(reportLogInterval)
 		event := "target names no limit any more"
--- a/internal/membership/row.go
+++ b/internal/membership/row.go
@@ -14,6 +14,8 @@
 	Member cluster.Member `json:"member"`
 	// Target is the start of the target that the row describes.
 	Target TargetStart `json:"target"`
+	// Leaving is set when the target drains only because it states on its responses that it leaves, which it may withdraw.
+	Leaving bool `json:"leaving,omitempty"`
 	// Departed is set when the target has left permanently. The row is retained so that a restarted node still knows it.
 	Departed bool `json:"gone,omitempty"`
 }
--- a/internal/node/checkin.go
+++ b/internal/node/checkin.go
@@ -57,6 +57,10 @@
 	slots     int
 	draining  bool
 	departed  bool
+	// leaving is set while the target states on its responses that it leaves, which it may withdraw. leavingHeardAt is when
+	// it last did.
+	leaving        bool
+	leavingHeardAt time.Time
 
 	lastHeard time.Time // time of the last check-in or departure of the current boot
 	candidate candidateBoot
@@ -114,6 +118,26 @@
 	return changeNone
 }
 
+// isDraining reports whether the target gets no new requests.
+func (s *targetState) isDraining() bool { return s.draining || s.leaving }
+
+// applyLeaving records that the target stated on a response that it leaves, and reports whether that is new.
+func (s *targetState) applyLeaving(now time.Time) bool {
+	isNew := !s.isDraining()
+	s.leaving, s.leavingHeardAt = true, now
+	return isNew
+}
+
+// leavingWithdrawalDelay is the time without a statement that the target leaves after which its health path is asked whether
+// it still does. Targets that leave have a few seconds left.
+const leavingWithdrawalDelay = 10 * time.Second
+
+// mayHaveWithdrawn reports whether a target that stated that it leaves may serve again, because it goes on checking in as
+// ready.
+func (s *targetState) mayHaveWithdrawn(now time.Time) bool {
+	return s.leaving && !s.draining && !s.departed && now.Sub(s.leavingHeardAt) >= leavingWithdrawalDelay
+}
+
 // startBoot makes a new boot the current one and retires the one before.
 func (s *targetState) startBoot(checkIn *CheckIn, now time.Time) {
 	retired := s.retired
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,8 @@
 		OnFullSpeedConcurrency: n.target.setFullSpeed,
 		TargetID:               boot.targetID,
 		TargetBoot:             wire.BootDigest(boot.targetID, boot.startedAt),
+		OnLeaving:              func(source string) { n.target.recordLeaving(boot, source) },
+		OnOtherReport:          n.target.applyOtherReport,
 		OnWrongTarget:          func() { n.target.dropResumedBoot(checkIn.TargetID) },
 		RemainingWarmUp:        checkIn.RemainingWarmUp,
 		ReadAheadBytes:         readAheadBytes,
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -119,10 +119,12 @@
 			startedAt: storedRow.Target.StartedAt,
 			sequence:  storedRow.Target.Sequence,
 			slots:     storedRow.Target.Slots,
-			draining:  storedRow.Member.Draining,
+			draining:  storedRow.Member.Draining && !storedRow.Leaving,
 			departed:  storedRow.Departed,
+			leaving:   storedRow.Leaving,
 			lastHeard: time.Now(),
 		}
+		t.state.leavingHeardAt = t.state.lastHeard
 	}
 	t.fullSpeed = storedRow.Member.FullSpeed
 	t.membersLoaded = true
@@ -146,24 +148,33 @@
 // serving. Each request carries the target's id, so that a target that has replaced this one rejects it.
 func (t *localTarget) resume(ctx context.Context, storedRow membership.Row) {
 	if storedRow.Target.ID == "" || storedRow.Departed || storedRow.Member.Draining || storedRow.Target.Slots == 0 ||
-		storedRow.Member.Service != t.node.settings.Service || !t.isServing(ctx, storedRow.Target.ID) {
+		storedRow.Member.Service != t.node.settings.Service {
+		return
+	}
+	report, serving := t.checkServing(ctx, storedRow.Target.ID)
+	if report.Leaving {
+		t.recordLeaving(bootID{storedRow.Target.ID, storedRow.Target.StartedAt}, "health")
+	}
+	if !serving {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current.Load() != nil || t.state.targetID != storedRow.Target.ID || t.state.startedAt != storedRow.Target.StartedAt || t.state.draining {
+	if t.current.Load() != nil || t.state.targetID != storedRow.Target.ID || t.state.startedAt != storedRow.Target.StartedAt || t.state.isDraining() {
 		return // a check-in has arrived in the meantime
 	}
 	t.startBoot(&CheckIn{TargetID: t.state.targetID, StartedAt: t.state.startedAt, Slots: t.state.slots})
 	t.current.Load().resumed = true
+	t.current.Load().handler.ApplyHealth(report)
 	t.publishRow()
 }
 
-// isServing queries the health path and reports whether the target has that id and is serving.
-func (t *localTarget) isServing(ctx context.Context, targetID string) bool {
+// checkServing queries the health path and reports whether the target has that id, is serving and does not leave. It returns
+// what that target states about itself.
+func (t *localTarget) checkServing(ctx context.Context, targetID string) (inbound.TargetReport, bool) {
 	service := t.node.view.Load().Service(t.node.settings.Service)
 	if service == nil || service.HealthPath == "" {
-		return false
+		return inbound.TargetReport{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
@@ -171,14 +182,64 @@
 	defer transport.CloseIdleConnections()
 	response, err := inbound.CheckHealth(ctx, transport, t.node.settings.TargetAddr, service.HealthPath)
 	if err != nil {
-		klog.InfoS("target not resumed", "target", targetID, "err", err.Error())
-		return false
+		klog.InfoS("health path of the target not read", "target", targetID, "err", err.Error())
+		return inbound.TargetReport{}, false
 	}
-	if !t.node.platform.IsServing(response, targetID) {
-		klog.InfoS("target not resumed", "target", targetID, "status", response.StatusCode)
-		return false
+	report := t.node.platform.Protocol(targetID).ParseReport(response.Header)
+	if report.TargetID != "" && report.TargetID != targetID {
+		report = inbound.TargetReport{}
+	}
+	if !t.node.platform.IsServing(response, targetID) || report.Leaving {
+		klog.InfoS("target does not serve", "target", targetID, "status", response.StatusCode, "leaving", report.Leaving)
+		return report, false
+	}
+	return report, true
+}
+
+// recordLeaving drains the target after it stated on a response that it leaves, whether or not a check-in says so.
+func (t *localTarget) recordLeaving(boot bootID, source string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if boot != (bootID{t.state.targetID, t.state.startedAt}) || !t.state.applyLeaving(time.Now()) {
+		return
+	}
+	klog.InfoS("target states that it leaves", "target", boot.targetID, "born", boot.startedAt, "source", source)
+	t.node.metrics.Counter("target.leaving").Inc(1)
+	t.beginDrain()
+	t.publishRow()
+}
+
+// checkWithdrawal serves the target again if its health path shows that it serves and no longer states that it leaves. A
+// target without a health path shows it by the response to its next request.
+func (t *localTarget) checkWithdrawal(checkIn *CheckIn) {
+	report, serving := t.checkServing(context.Background(), checkIn.TargetID)
+	if service := t.node.view.Load().Service(t.node.settings.Service); service != nil && service.HealthPath == "" {
+		serving = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if checkIn.TargetID != t.state.targetID || checkIn.StartedAt != t.state.startedAt || !t.state.mayHaveWithdrawn(time.Now()) {
+		return
+	}
+	if !serving {
+		t.state.leavingHeardAt = time.Now() // asked again after leavingWithdrawalDelay
+		return
+	}
+	klog.InfoS("target no longer states that it leaves", "target", checkIn.TargetID, "born", checkIn.StartedAt)
+	t.state.leaving = false
+	t.startBoot(checkIn)
+	t.current.Load().handler.ApplyHealth(report)
+	t.publishRow()
+}
+
+// applyOtherReport applies a report that came in response to a request for an earlier target of the same address.
+func (t *localTarget) applyOtherReport(report inbound.TargetReport) {
+	t.mu.Lock()
+	current, known := t.current.Load(), t.state.targetID == report.TargetID
+	t.mu.Unlock()
+	if current != nil && known {
+		current.handler.ApplyResponse(report)
 	}
-	return true
 }
 
 // dropResumedBoot stops serving a resumed boot after another target responded at its address. The next check-in
@@ -205,6 +266,9 @@
 	switch {
 	case changed == changeNewBoot || notServed:
 		t.startBoot(checkIn)
+	case changed == changeNone && checkIn.TargetID == t.state.targetID && t.state.mayHaveWithdrawn(time.Now()):
+		go t.checkWithdrawal(checkIn)
+		return
 	case changed == changeDraining:
 		klog.InfoS("target drains", "target", t.state.targetID, "sequence", checkIn.Sequence)
 		t.beginDrain()
@@ -221,8 +285,8 @@
 	member.ID += "." + strconv.Itoa(t.bootCount)
 	next := &boot{member: member, handler: t.node.newHandler(member, checkIn)}
 	klog.InfoS("target serves", "member", member.ID, "target", t.state.targetID, "born", t.state.startedAt,
-		"slots", checkIn.Slots, "draining", t.state.draining, "cold", checkIn.RemainingWarmUp)
-	if t.state.draining {
+		"slots", checkIn.Slots, "draining", t.state.isDraining(), "cold", checkIn.RemainingWarmUp)
+	if t.state.isDraining() {
 		next.handler.BeginDrain()
 	}
 	go next.handler.FetchSuspects(context.Background()) // queries other nodes for a short time; see quarantine.NewPeers
@@ -257,12 +321,13 @@
 	if current := t.current.Load(); current != nil {
 		member = current.member
 	}
-	member.Draining = t.state.draining
+	member.Draining = t.state.isDraining()
 	member.FullSpeed = t.fullSpeed
 	t.node.directory.Announce(membership.Row{
 		Member:   member,
 		Target:   membership.TargetStart{ID: t.state.targetID, StartedAt: t.state.startedAt, Sequence: t.state.sequence, Slots: t.state.slots},
 		Departed: t.state.departed,
+		Leaving:  t.state.leaving && !t.state.draining,
 	})
 }
 
--- a/internal/operator/nodes.go
+++ b/internal/operator/nodes.go
@@ -183,6 +183,8 @@
 	switch {
 	case row.Departed:
 		return "gone"
+	case row.Leaving:
+		return "leaving"
 	case row.Member.Draining:
 		return "draining"
 	}
