Hold requests by a slow reading of the pace under a limit

Callers of a limited target got late answers: under a limit its health path is read less often, and a slow reading was ignored after 20 ms, so that a third of the requests started in slow periods. A slow reading now holds for 100 ms or until the next one. The logs of requests name their kind.

TestSlowReadingHoldsUnderLimit fails without the change.

--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -29,6 +29,9 @@
 	// maxFirstBaseline is the baseline that the first reading sets at most: a target that has just started takes up to twice
 	// as long as usual, and a higher factor is a slow period.
 	maxFirstBaseline = 2.0
+	// slowReadingLifetime is the time for which a slow reading holds requests while a limit of the target delays the next one:
+	// two thirds of the time for which a machine keeps its speed.
+	slowReadingLifetime = 100 * time.Millisecond
 	// shortServiceTime is the service time below which a request starts at any pace: a slow run costs it less than a
 	// move to another target.
 	shortServiceTime = 5 * time.Millisecond
@@ -47,7 +50,8 @@
 	baseline  float64
 	slowSince time.Time // start of the current slow period; zero: the target is not slow
 	slowMin   float64   // lowest factor of the current slow period
-	nextRead  time.Time // no read before this time, after a failed one
+	nextRead  time.Time // no read before this time, after a failed one or under a limit of the target
+	limited   bool      // the reads are delayed by a limit of the target
 }
 
 // update adds a reading.
@@ -94,9 +98,29 @@
 }
 
 // isOutdated reports whether the reading is too old to be used and no newer one is available because the last read
-// failed.
+// failed or the next one is delayed.
 func (p *paceTracker) isOutdated(now time.Time) bool {
-	return now.Sub(p.readAt) > paceReadInterval && now.Before(p.nextRead)
+	return now.Sub(p.readAt) > p.lifetime() && now.Before(p.nextRead)
+}
+
+// lifetime returns the age up to which a reading is used while there is no newer one.
+func (p *paceTracker) lifetime() time.Duration {
+	if p.limited {
+		return slowReadingLifetime
+	}
+	return paceReadInterval
+}
+
+// readDelay returns the time until the next read, or until the last reading is outdated if that is earlier.
+func (p *paceTracker) readDelay(now time.Time) time.Duration {
+	due := p.readAt.Add(paceReadInterval)
+	if p.nextRead.After(due) {
+		due = p.nextRead
+	}
+	if outdated := p.readAt.Add(p.lifetime() + time.Millisecond); due.After(outdated) {
+		due = outdated
+	}
+	return max(due.Sub(now), 0)
 }
 
 // mustWait reports whether a request with the given usual service time must not start now. A service time of 0 is
@@ -160,8 +184,8 @@
 	return l.readPace != nil && l.canStart(w.Exclusive) && l.pace.mustWait(w.serviceTime, now)
 }
 
-// schedulePaceRead starts a read of the pace now, or after paceReadInterval if the last reading is not stale, unless one
-// is running or scheduled. The mutex is held.
+// schedulePaceRead starts a read of the pace now or, if the last reading is not stale, when the next one is due, unless one is
+// running or scheduled. The mutex is held.
 func (l *Limiter) schedulePaceRead(now time.Time) {
 	if l.paceReadPending {
 		return
@@ -171,7 +195,7 @@
 		go l.refreshPace()
 		return
 	}
-	time.AfterFunc(paceReadInterval-now.Sub(l.pace.readAt), l.refreshPace)
+	time.AfterFunc(l.pace.readDelay(now), l.refreshPace)
 }
 
 // refreshPace reads the pace and applies it, or delays the next read if that failed.
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -200,9 +200,10 @@
 }
 
 // delayHealthReads sets the time of the next read of the target's health path under a limit; see healthReadsPerRequest. Until
-// then requests start without a reading. The mutex is held.
+// then a fast reading holds, and a slow one for slowReadingLifetime. The mutex is held.
 func (l *Limiter) delayHealthReads(now time.Time) {
-	if l.rate.active() {
+	l.pace.limited = l.rate.active()
+	if l.pace.limited {
 		interval := time.Duration(float64(time.Second) / (healthReadsPerRequest * l.rate.currentRate(now)))
 		l.pace.nextRead = now.Add(interval)
 	}
--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -195,6 +195,36 @@
 	})
 }
 
+// Guards against a request that starts in a slow period of a limited target, because the next read of its pace is delayed, and
+// against one that such a reading holds for long.
+func TestSlowReadingHoldsUnderLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := New(Limits{Slots: 9, Queue: 9})
+		limiter.times.record("purchase", 1, 100*time.Millisecond)
+		pace := 1.0
+		limiter.SetPaceReader(func() (float64, bool) { return pace, true })
+		limiter.ReportLimit(10, true) // a read every 50 ms
+		time.Sleep(time.Second)
+		start := func() time.Duration {
+			began := time.Now()
+			slot, refused := limiter.Acquire(context.Background(), Request{Kind: "purchase", Deadline: began.Add(time.Second)})
+			assert.Assert(t, refused == nil)
+			slot.Release(false)
+			return time.Since(began)
+		}
+		assert.Equal(t, start(), time.Duration(0))
+		time.Sleep(50 * time.Millisecond)
+		pace = 5
+		time.AfterFunc(40*time.Millisecond, func() { pace = 1 })
+		assert.Equal(t, start(), 50*time.Millisecond, "until the next read shows the usual pace")
+		limiter.ReportLimit(0.5, true) // a read every second
+		time.Sleep(2 * time.Second)
+		pace = 5
+		held := start()
+		assert.Assert(t, held >= slowReadingLifetime && held <= slowReadingLifetime+2*time.Millisecond, "%v", held)
+	})
+}
+
 // Guards against a limit that an earlier process knew, other nodes still know and this one has not heard; and against one that
 // outlives what the target itself said since.
 func TestAdoptLimit(t *testing.T) {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -18,7 +18,8 @@
 	if !telemetry.Sampled(id) && !c.retried {
 		return
 	}
-	klog.InfoS("request answered", "request", id, "service", c.service.Name, "list", c.snapshot.List.Version,
+	_, kind := c.route()
+	klog.InfoS("request answered", "request", id, "service", c.service.Name, "kind", kind, "list", c.snapshot.List.Version,
 		"member", final.memberID, "sends", c.sends, "moves", len(c.movedFrom), "overflows", c.overflows,
 		"status", final.response.StatusCode,
 		"first_byte_after", final.latency.Round(time.Millisecond), "left", c.remaining().Round(time.Millisecond))
@@ -44,7 +45,8 @@
 
 // logFailure logs the failure that is returned to the caller.
 func (h *Handler) logFailure(c *call, failed *failure.Error) {
-	klog.InfoS("request failed", "request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name,
+	_, kind := c.route()
+	klog.InfoS("request failed", "request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name, "kind", kind,
 		"list", c.snapshot.List.Version, "members", len(c.snapshot.Members[c.service.Name]), "sends", c.sends,
 		"moves", len(c.movedFrom), "overflows", c.overflows, "reached", c.reached, "not_repeated", c.retryDenial,
 		"reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
