--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,9 +20,9 @@
 	LimitNamed bool    // the response names a limit
 	Limit      float64 // requests per second that the target accepts from all nodes together; valid if LimitNamed
 	Leaving    bool    // the target is shutting down
-	// Err is set if the target states something that can't be used. A limit that can't be used counts as named: it neither
-	// changes nor ends the one in force.
-	Err error
+	// LimitErr and LeavingErr are set if the target states something that can't be read. Such a limit counts as named: it
+	// neither changes nor ends the one in force.
+	LimitErr, LeavingErr error
 }
 
 // Sources of reports, as logged.
@@ -60,7 +61,7 @@
 	if percent, err := strconv.ParseFloat(header.Get(wire.TargetPace), 64); err == nil && percent > 0 {
 		report.Pace = percent / 100
 	}
-	report.Limit, report.LimitNamed, report.Err = wire.ParseLimit(wire.TargetLimit, header.Values(wire.TargetLimit))
+	report.Limit, report.LimitNamed, report.LimitErr = wire.ParseLimit(wire.TargetLimit, header.Values(wire.TargetLimit))
 	return report
 }
 
@@ -81,7 +82,7 @@
 // path without a limit does not end one: targets may name it on the responses to requests only.
 func (h *Handler) applyReport(report TargetReport, source string) {
 	h.logReport(&report, source)
-	if report.Err == nil && (report.LimitNamed || source != fromHealth) {
+	if report.LimitErr == nil && (report.LimitNamed || source != fromHealth) {
 		h.limiter.ReportLimit(report.Limit, report.LimitNamed)
 	}
 	if report.Leaving && h.config.OnLeaving != nil {
@@ -140,12 +141,14 @@
 	log, now := &h.reports, time.Now()
 	log.mu.Lock()
 	defer log.mu.Unlock()
-	if report.Err != nil {
+	if err := errors.Join(report.LimitErr, report.LeavingErr); err != nil {
 		h.config.Metrics.Counter("target.report-invalid").Inc(1)
 		if !now.Before(log.nextInvalid) {
 			log.nextInvalid = now.Add(reportLogInterval)
-			klog.InfoS("report of the target not usable", "member", h.config.Self.ID, "source", source, "err", report.Err.Error())
+			klog.InfoS("report of the target not usable", "member", h.config.Self.ID, "source", source, "err", err.Error())
 		}
+	}
+	if report.LimitErr != nil {
 		return
 	}
 	if source == fromHealth {
