Check limits and departures in the soak

The stand-in's record of a worker checks both rules for the requests of nodes that passed a statement on and were not disturbed since.

--- a/internal/testsite/backend.go
+++ b/internal/testsite/backend.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,7 @@
 	mu          sync.Mutex
 	boots       int
 	worker      string // ID of the current boot
+	workers     []*standin.Worker
 	checkIns    *standin.CheckInClient
 	server      *http.Server
 	stop        context.CancelFunc // ends the check-ins
@@ -102,6 +104,7 @@
 	}
 	worker := &standin.Worker{ID: b.worker, Service: b.service, ServiceTime: 15 * time.Millisecond}
 	worker.Respond = b.respond
+	b.workers = append(b.workers, worker)
 	id := b.worker
 	worker.OnRun = func(request string) { b.log.recordRun(request, id) }
 	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -129,6 +132,13 @@
 	return b.boots
 }
 
+// Workers returns the workers started so far. The last one is the current one.
+func (b *Backend) Workers() []*standin.Worker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.workers)
+}
+
 // WorkerID returns the ID of the worker of a boot.
 func (b *Backend) WorkerID(boot int) string { return fmt.Sprintf("i-%s-%d", b.name, boot) }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -31,6 +31,7 @@
 	idempotent bool
 	node       string
 	startedAt  time.Time
+	endedAt    time.Time
 	status     int    // HTTP status, 0 without a complete response
 	problem    string // why the response is invalid; empty if it is valid
 	maybeSent  bool   // the request may have reached the node
@@ -80,6 +81,7 @@
 	for i := 0; !c.stopped.Load(); i++ {
 		req := &request{id: fmt.Sprintf("c%d-%d", index, i), idempotent: random.IntN(2) == 0, node: node.Name}
 		c.send(transport, node.Callers.Addr(), req, random.IntN(4) == 0)
+		req.endedAt = time.Now()
 		c.requests.Lock()
 		c.requests.completed = append(c.requests.completed, req)
 		c.requests.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -160,7 +160,9 @@
 		active.Add(1)
 		running.Go(func() {
 			defer active.Add(-1)
+			s.recordDisturbance(n)
 			selected.run(s, n, faultRandom, duration)
+			s.recordDisturbance(n)
 			if selected.exclusive {
 				s.release(n)
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,7 @@
 	frozenFor durations
 
 	mu         sync.Mutex
+	disturbed  map[string][]time.Time  // start and end of the faults that excuse a node from what it was told, by name
 	claimed    map[*testsite.Node]bool // nodes with an active exclusive fault
 	violations []string
 }
@@ -68,7 +69,7 @@
 func newSoak(config config, site *testsite.Site) *soak {
 	return &soak{
 		config: config, startedAt: time.Now(), site: site, lists: &listPublisher{store: site.Store}, callers: &callers{},
-		frozenFor: durations{byName: map[string]time.Duration{}}, claimed: map[*testsite.Node]bool{},
+		frozenFor: durations{byName: map[string]time.Duration{}}, claimed: map[*testsite.Node]bool{}, disturbed: map[string][]time.Time{},
 	}
 }
 
@@ -95,7 +96,11 @@
 	}
 	time.Sleep(discoveryTime)
 	timer := time.AfterFunc(config.faults, stopFaults)
+	var statements sync.WaitGroup
+	// A stream of its own keeps the faults of a seed the same.
+	statements.Go(func() { s.makeStatements(rand.New(rand.NewPCG(config.seed, 2))) })
 	s.injectFaults(rand.New(rand.NewPCG(config.seed, 0)))
+	statements.Wait()
 	timer.Stop()
 	s.heal()
 	s.awaitRecovery()
@@ -175,6 +180,7 @@
 			s.recordViolation("request %s began at %s %v after its drain was acknowledged", run.Request, run.Worker, run.At.Sub(drainedAt))
 		}
 	}
+	s.checkStatements()
 	for _, r := range s.callers.requests.completed {
 		switch {
 		case r.problem != "":
