Return statements to restarted nodes only, and go on to targets with room

A call that had moved away from three limited targets and met a fourth was refused although other targets had room; it goes on now, uncharged, up to the sends of a call (TestCallsFindTargetsWithRoom, which failed without the change).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,7 +34,6 @@
 	grant              *grantHeaders // keyed calls only
 	overflow           bool          // the node must refuse the attempt unless a slot is free
 	canOverflow        bool          // another region may take the call if the node has no free slot
-	carriesState       bool          // the request returns a statement of the target to its node
 	generation         *forward.Generation
 	cancel             context.CancelFunc
 	started            time.Time
@@ -58,7 +57,9 @@
 	limitNamed bool
 	latency    time.Duration // to the first byte
 	overflow   bool          // the attempt was offered to another region
-	pinned     bool          // the node was told not to refuse the call because its target is slow, failing or limited
+	pinned     bool          // the node was told that the call has no other target to move to
+	// allLimited is true if no member that the call could be sent to accepted a request, by the limits of their targets.
+	allLimited bool
 }
 
 // roundTripResult holds the return values of a round trip.
@@ -157,9 +158,8 @@
 	if a.member.Region != a.call.snapshot.Self.Region {
 		header.Set(wire.Link, "1")
 	}
-	if state := a.handler.states.header(a.member.PeerAddr, time.Now()); state != "" {
+	if state := a.handler.states.header(a.member.PeerAddr, a.member.ID, time.Now()); state != "" {
 		header.Set(wire.TargetStatus, state)
-		a.carriesState = true
 	}
 	if a.grant != nil {
 		header.Set(wire.KeyOwner, a.grant.owner)
@@ -194,7 +194,11 @@
 		res.sample = &sample
 	}
 	reason := response.Header.Get(wire.Reason)
-	state := a.handler.states.record(a.member.PeerAddr, response.Header.Get(wire.TargetStatus), reason == "", a.carriesState, time.Now())
+	memberID := a.member.ID
+	if current := response.Header.Get(wire.CurrentMember); current != "" {
+		memberID = current
+	}
+	state := a.handler.states.record(a.member.PeerAddr, memberID, response.Header.Get(wire.TargetStatus), reason == "", time.Now())
 	res.limitNamed = state.Limit > 0
 	if reason == "" {
 		response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: a.cancel}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -74,7 +74,7 @@
 // endsInRegion reports whether no member of the region admits the call: the one that accepts the next request refused it by
 // its target's limit. A further try there would only repeat the refusal.
 func (r *result) endsInRegion() bool {
-	return r.pinned && !r.overflow && r.failed.Reason == failure.TargetLimited
+	return r.allLimited && !r.overflow && r.failed.Reason == failure.TargetLimited
 }
 
 // discardLosers closes the responses of the pending attempts, after another attempt has won.
@@ -108,7 +108,7 @@
 	a.canOverflow = !a.overflow && h.canOverflowEarly(c, policy)
 	go func() {
 		res := h.reportResult(c, pick, a.runRecovered(ctx))
-		res.overflow, res.pinned = a.overflow, a.pinned
+		res.overflow, res.pinned, res.allLimited = a.overflow, a.pinned, pick.Limited
 		results <- res
 	}()
 	return nil
@@ -163,7 +163,7 @@
 // allowRetry reports whether a failed attempt may be followed by another, and charges the retry budget for it.
 func (h *Handler) allowRetry(c *call, policy *Policy, res result) bool {
 	failed := res.failed
-	if failed.Reason.IsMove() {
+	if failed.Reason.IsMove() && !(res.pinned && failed.Reason == failure.TargetLimited) {
 		return h.allowMove(c, res)
 	}
 	if failed.Outcome != failure.NotRun || failed.Reason == failure.TargetShed {
@@ -241,7 +241,7 @@
 // once. maxSends bounds them.
 func reachedNoTarget(failed *failure.Error) bool {
 	switch failed.Reason {
-	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget:
+	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget, failure.TargetLimited:
 		return true
 	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.WrongTarget, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
--- a/internal/entry/targetstates.go
+++ b/internal/entry/targetstates.go
@@ -16,24 +16,25 @@
 )
 
 // targetStates holds what the targets beside other nodes stated about themselves. A node that restarts has forgotten the
-// statements of its target; every node that passed one on returns it with its next request, so that it holds from the first
-// request on. It is safe for concurrent use and does no I/O.
+// statements of its target; every node that passed one on returns it with its requests to the new process, so that it holds
+// from the first request on. It is safe for concurrent use and does no I/O.
 type targetStates struct {
 	mu     sync.Mutex
 	byAddr map[string]heardState // by peer address of the node
 }
 
-// heardState is a statement and when the target made it.
+// heardState is a statement, when the target made it, and the id of the member whose response carried it.
 type heardState struct {
-	state wire.TargetState
-	at    time.Time
+	state    wire.TargetState
+	at       time.Time
+	memberID string
 }
 
-// record stores the statement that came with a response of the node at addr. A response without one removes the statement if
-// the request carried it and reached the target: then the node knows better.
-func (t *targetStates) record(addr, text string, answered, carried bool, now time.Time) (state wire.TargetState) {
+// record stores the statement in a response of a member whose node is at addr, and returns it. If the member answered without
+// one, it has none any more: the request carried what this node knew, or the member had stated it itself.
+func (t *targetStates) record(addr, memberID, text string, answered bool, now time.Time) wire.TargetState {
 	if text == "" {
-		if answered && carried {
+		if answered {
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			delete(t.byAddr, addr)
@@ -55,7 +56,7 @@
 			return state
 		}
 	}
-	t.byAddr[addr] = heardState{state: state, at: now.Add(-state.Age)}
+	t.byAddr[addr] = heardState{state: state, at: now.Add(-state.Age), memberID: memberID}
 	return state
 }
 
@@ -67,12 +68,13 @@
 	}
 }
 
-// header returns the statement to send with a request to the node at addr; empty: there is none.
-func (t *targetStates) header(addr string, now time.Time) string {
+// header returns the statement to send with a request to a member whose node is at addr; empty: there is none, or it came from
+// that member.
+func (t *targetStates) header(addr, memberID string, now time.Time) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	heard, ok := t.byAddr[addr]
-	if !ok {
+	if !ok || heard.memberID == memberID {
 		return ""
 	}
 	heard.state.Age = max(0, now.Sub(heard.at))
