Use a target again although other nodes still know its withdrawn departure

A target that had withdrawn its departure was drained again by the first request of another node, for as long as that node remembered the departure. A node now ignores a departure that is older than the last answer without it, or than the health path's. TestWithdrawnDeparture has two nodes now and fails without the change (503). Two tests of the limiter raced with themselves.

--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -156,13 +156,6 @@
 	l.grantQueued()
 }
 
-// HeardTargetSince reports whether a report of the target itself was applied after the given time.
-func (l *Limiter) HeardTargetSince(at time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.heardTarget.After(at)
-}
-
 // AdoptLimit applies a limit that another node heard the target name at heardAt. It returns false if the limit is too old, or
 // if this limiter has itself heard from the target since or knows a limit already.
 func (l *Limiter) AdoptLimit(rate float64, heardAt time.Time) bool {
--- a/internal/admission/ratelimit_test.go
+++ b/internal/admission/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -182,8 +183,8 @@
 func TestLimitBoundsHealthReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limiter := New(Limits{Slots: 9, Queue: 9})
-		reads := 0
-		limiter.SetPaceReader(func() (float64, bool) { reads++; return 1, true })
+		var reads atomic.Int64
+		limiter.SetPaceReader(func() (float64, bool) { reads.Add(1); return 1, true })
 		limiter.ReportLimit(2, true)
 		for range 400 {
 			if slot, refused := limiter.Acquire(context.Background(), Request{Deadline: time.Now().Add(5 * time.Millisecond)}); refused == nil {
@@ -191,7 +192,8 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		assert.Assert(t, reads >= 4 && reads <= 2*healthReadsPerRequest*4+1, "%d reads in 4 s", reads)
+		count := reads.Load()
+		assert.Assert(t, count >= 4 && count <= 2*healthReadsPerRequest*4+1, "%d reads in 4 s", count)
 	})
 }
 
@@ -201,8 +203,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		limiter := New(Limits{Slots: 9, Queue: 9})
 		limiter.times.record("purchase", 1, 100*time.Millisecond)
-		pace := 1.0
-		limiter.SetPaceReader(func() (float64, bool) { return pace, true })
+		var pace atomic.Int64
+		pace.Store(1)
+		limiter.SetPaceReader(func() (float64, bool) { return float64(pace.Load()), true })
 		limiter.ReportLimit(10, true) // a read every 50 ms
 		time.Sleep(time.Second)
 		start := func() time.Duration {
@@ -214,12 +217,12 @@
 		}
 		assert.Equal(t, start(), time.Duration(0))
 		time.Sleep(50 * time.Millisecond)
-		pace = 5
-		time.AfterFunc(40*time.Millisecond, func() { pace = 1 })
+		pace.Store(5)
+		time.AfterFunc(40*time.Millisecond, func() { pace.Store(1) })
 		assert.Equal(t, start(), 50*time.Millisecond, "until the next read shows the usual pace")
 		limiter.ReportLimit(0.5, true) // a read every second
 		time.Sleep(2 * time.Second)
-		pace = 5
+		pace.Store(5)
 		held := start()
 		assert.Assert(t, held >= slowReadingLifetime && held <= slowReadingLifetime+2*time.Millisecond, "%v", held)
 	})
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -101,6 +101,7 @@
 	drainHint       atomic.Int64    // time of the target's last drain hint in Unix nanoseconds; 0: none
 	reports         reportLog
 	leavingHeardAt  atomic.Int64 // when the target last stated that it leaves, in Unix nanoseconds; 0: never
+	stayingHeardAt  atomic.Int64 // when the target last answered without that statement, in Unix nanoseconds; 0: never
 }
 
 // New returns a handler for the local target.
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -85,14 +85,21 @@
 	if report.LimitErr == nil && (report.LimitNamed || source != fromHealth) {
 		h.limiter.ReportLimit(report.Limit, report.LimitNamed)
 	}
-	if report.Leaving && h.config.OnLeaving != nil {
+	switch {
+	case report.Leaving && h.config.OnLeaving != nil:
 		h.leavingHeardAt.Store(time.Now().UnixNano())
 		h.config.OnLeaving(source)
+	case source == fromResponse:
+		h.stayingHeardAt.Store(time.Now().UnixNano())
 	}
 }
 
-// ApplyHealth applies what the target stated about itself in a response of its health path.
-func (h *Handler) ApplyHealth(report TargetReport) { h.applyReport(report, fromHealth) }
+// ApplyServing applies what the target stated about itself in a response of its health path that shows that it serves and does
+// not leave.
+func (h *Handler) ApplyServing(report TargetReport) {
+	h.stayingHeardAt.Store(time.Now().UnixNano())
+	h.applyReport(report, fromHealth)
+}
 
 // ApplyResponse applies what the target stated about itself in response to a request for an earlier target.
 func (h *Handler) ApplyResponse(report TargetReport) { h.applyReport(report, fromResponse) }
@@ -130,7 +137,7 @@
 		klog.InfoS("limit of the target learned from another node", "member", h.config.Self.ID, "limit", state.Limit, "age", state.Age)
 		h.config.Metrics.Counter("target.limit-adopted").Inc(1)
 	}
-	if state.Leaving && h.config.OnLeaving != nil && !h.limiter.HeardTargetSince(heardAt) {
+	if state.Leaving && h.config.OnLeaving != nil && h.stayingHeardAt.Load() < heardAt.UnixNano() {
 		h.leavingHeardAt.CompareAndSwap(0, heardAt.UnixNano())
 		h.config.OnLeaving(fromNode)
 	}
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -165,7 +165,7 @@
 	}
 	t.startBoot(&CheckIn{TargetID: t.state.targetID, StartedAt: t.state.startedAt, Slots: t.state.slots})
 	t.current.Load().resumed = true
-	t.current.Load().handler.ApplyHealth(report)
+	t.current.Load().handler.ApplyServing(report)
 	t.publishRow()
 }
 
@@ -228,7 +228,7 @@
 	klog.InfoS("target no longer states that it leaves", "target", checkIn.TargetID, "born", checkIn.StartedAt)
 	t.state.leaving = false
 	t.startBoot(checkIn)
-	t.current.Load().handler.ApplyHealth(report)
+	t.current.Load().handler.ApplyServing(report)
 	t.publishRow()
 }
 
