--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -209,6 +210,9 @@
 	a.cancel()
 	res.response = nil
 	res.failed = failure.New(failure.Reason(reason), outcome, "refused by node %s", a.member.ID)
+	if res.failed.Reason == failure.TargetLimited {
+		res.failed.Detail += fmt.Sprintf(", whose target accepts %.3g requests/s", state.Limit)
+	}
 	res.failed.RetryAfter = retryAfter(response.Header)
 	if res.failed.Reason == failure.WrongIncarnation {
 		res.currentID = response.Header.Get(wire.CurrentMember)
