--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -149,7 +149,7 @@
 // is full, a request of higher rank replaces the one of lowest rank in it. Besides the reasons of AcquireByDeadline, an
 // error can have the reasons target-slow and target-failing if request.HasAlternative is set, target-busy if
 // request.CanOverflow is set, and target-limited if the limit that the target names does not admit the request now or, for
-// one without an alternative, before its deadline.
+// one without an alternative, in time; see limitAdmitsInTime.
 func (l *Limiter) Acquire(ctx context.Context, request Request) (*Slot, *failure.Error) {
 	now := time.Now()
 	w := &waiter{Request: request, result: make(chan result, 1)}
