--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MINUTES ?= 5
 
 help:
-	@echo "make demo [ROWS=1] | test | bench [BENCH=full] | soak [SEED=1] [MINUTES=5] | build | check | fuzz [FUZZTIME=2s] | generate"
+	@echo "make demo [ROWS=1] | test | bench [BENCH=full] | soak [SEED=1] [MINUTES=5] | build | check | fuzz [FUZZTIME=50000x] | generate"
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,7 +15,7 @@
 test: check fuzz
 	go run ./scripts/testrun
 
-FUZZTIME ?= 2s
+FUZZTIME ?= 50000x
 
 fuzz:
 	sh scripts/fuzz.sh $(FUZZTIME)
