--- a/review/deployment/deployment.go
+++ b/review/deployment/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,7 +31,8 @@
 	Machines []*Machine
 
 	storeAddr string
-	folder    string // settings and logs of the nodes
+	ports     map[int]bool // given to machines
+	folder    string       // settings and logs of the nodes
 }
 
 // Main runs a case and exits with its exit code. dir is the folder of the case, relative to the repository's root, which must
@@ -93,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Store: standin.NewStore(), Record: record, storeAddr: listener.Addr().String(), folder: folder}
+	d := &Deployment{Store: standin.NewStore(), Record: record, storeAddr: listener.Addr().String(), ports: map[int]bool{}, folder: folder}
 	go func() { _ = http.Serve(listener, d.Store) }() // until the process ends
 	return d, nil
 }
@@ -131,12 +133,27 @@
 	}
 }
 
-// freeAddr returns a loopback address with a free port.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// firstPort and lastPort bound the ports of the nodes and workers. They lie below the ports from which the kernel chooses for
+// outgoing connections, one of which could otherwise take a port before its node listens on it.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
+// freeAddr returns a loopback address with a free port that it has not returned before.
+func (d *Deployment) freeAddr() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if d.ports[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue // in use
+		}
+		_ = listener.Close()
+		d.ports[port] = true
+		return listener.Addr().String(), nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
--- a/review/deployment/machine.go
+++ b/review/deployment/machine.go
@@ -38,7 +38,7 @@
 	m := &Machine{Name: name, Service: service, Zone: zone, Region: region, deployment: d}
 	var workerAddr string
 	for _, addr := range []*string{&m.Outbound, &m.Inbound, &m.Ready, &m.Control, &workerAddr} {
-		free, err := freeAddr()
+		free, err := d.freeAddr()
 		if err != nil {
 			return nil, err
 		}
