--- a/review/deployment/worker.go
+++ b/review/deployment/worker.go
@@ -38,14 +38,7 @@
 	// Answer, unless nil, is called for each request that has run. If it returns true, it has answered in place of the worker.
 	Answer func(w http.ResponseWriter, r *http.Request) bool
 	// Stream, unless nil, reads and answers each request that runs in place of the worker.
-	Stream func(w http.ResponseWriter, r *http.Request)
-	// Overloaded, unless nil, decides for each request whether the worker rejects it as one that is full, in the form that
-	// fleetbench wire shows.
-	Overloaded func(id string) bool
-	// Repeats, unless nil, decides for each such rejection whether the worker sends it a second time, late: on the same
-	// connection when its next request has arrived there.
-	Repeats func(id string) bool
-
+	Stream   func(w http.ResponseWriter, r *http.Request)
 	addr     string
 	machine  *Machine
 	record   *Record
@@ -70,25 +63,12 @@
 		ID: "i-" + m.Name, Work: 20 * time.Millisecond, addr: addr, machine: m, record: record,
 		bornAt: time.Now().UnixMilli(), running: make(chan struct{}, slots), stop: stop,
 	}
-	server := &http.Server{Handler: worker, IdleTimeout: workerIdleTimeout, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, &workerConn{Conn: c})
-	}}
+	server := &http.Server{Handler: worker, IdleTimeout: workerIdleTimeout}
 	go func() { _ = server.Serve(listener) }() // until the process ends
 	go worker.sendCheckIns(ctx)
 	return worker, nil
 }
 
-type connKey struct{}
-
-// workerConn is a connection to a worker. Its requests are served one after another.
-type workerConn struct {
-	net.Conn
-	repeat bool // the last rejection is sent again with the next request
-}
-
-// rejection is the answer of a worker that is full, as fleetbench wire shows it.
-const rejection = "HTTP/1.1 503 Service Unavailable\r\nAcacialock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-
 // Runs returns the requests that began to run, in order.
 func (worker *Worker) Runs() []Run {
 	worker.mu.Lock()
@@ -118,18 +98,6 @@
 		worker.reject(w, http.StatusBadRequest)
 		return
 	}
-	conn := r.Context().Value(connKey{}).(*workerConn)
-	if conn.repeat {
-		conn.repeat = false
-		worker.record.Logf("%s sends its last rejection again on the connection on which %s has just arrived", worker.ID, id)
-		_, _ = io.WriteString(conn, rejection) // nothing else is written before this request's answer
-	}
-	if worker.Overloaded != nil && worker.Overloaded(id) {
-		conn.repeat = worker.Repeats != nil && worker.Repeats(id)
-		header.Del("Acacialock-Request-Id")
-		worker.reject(w, http.StatusServiceUnavailable)
-		return
-	}
 	if !worker.acquireSlot(r.Context()) {
 		worker.reject(w, http.StatusServiceUnavailable)
 		return
