Remember departures that arrive before the members are read

Cause: until a restarted node has read the members, check-ins and departures bypassed targetState, which orders them. One slot held the check-in with the highest sequence number; a departure set a flag in it, or did nothing if it was empty, and was answered 200. A late check-in with a higher sequence number replaced the slot, and the stored row still showed a ready worker.

Evidence: the log of the restarted node shows "departure of an unknown target" with known="", no "target left", and "target serves" at the moment the members are read. A stored row that undoes the departure, or stale rows at other nodes, would show "target left" first.

Change: check-ins and departures update targetState from the start of the process. restore puts the stored row beneath what was received. A departure of a boot that is not the current one is remembered, so that a late check-in of that boot starts nothing; one of a later start of the same target ends the current boot, which has the same id.

--- a/internal/node/checkin.go
+++ b/internal/node/checkin.go
@@ -19,6 +19,8 @@
 	StartedAt       int64  // start of the target, Unix milliseconds of its own clock
 }
 
+func (c *CheckIn) boot() bootID { return bootID{c.TargetID, c.StartedAt} }
+
 // Registrar receives the check-ins and the departure of the local target.
 type Registrar interface {
 	// CheckIn applies a check-in. It returns a *CheckInError if the check-in does not come from the local target. The
@@ -47,6 +49,8 @@
 	replacementMinSpan = time.Second
 	// maxRetiredBoots bounds the number of earlier boots that are remembered.
 	maxRetiredBoots = 8
+	// maxDepartures bounds the number of remembered departures of boots that were not the current one.
+	maxDepartures = 16
 )
 
 // targetState tracks the current and earlier boots of the local target. It takes no locks and does no I/O.
@@ -65,6 +69,9 @@
 	lastHeard time.Time // time of the last check-in or departure of the current boot
 	candidate candidateBoot
 	retired   []bootID // earlier boots, oldest first
+	// departures are acknowledged departures of boots that were not the current one when they arrived, oldest first. A
+	// departure can overtake the check-ins of its boot, and it can arrive before the row of an earlier process is read.
+	departures []departure
 }
 
 // bootID identifies one start of a target.
@@ -73,6 +80,24 @@
 	startedAt int64
 }
 
+// departure is an acknowledged departure of the boots of a target that started between two times, both included. A
+// departure that names the start time covers that boot only, another one each boot that started before it arrived.
+type departure struct {
+	targetID                 string
+	earliestStart, lastStart int64 // Unix milliseconds
+}
+
+func newDeparture(targetID string, startedAt int64, now time.Time) departure {
+	if startedAt == 0 {
+		return departure{targetID, 0, now.UnixMilli()}
+	}
+	return departure{targetID, startedAt, startedAt}
+}
+
+func (d departure) covers(id bootID) bool {
+	return d.targetID == id.targetID && d.earliestStart <= id.startedAt && id.startedAt <= d.lastStart
+}
+
 // candidateBoot is an unknown boot with an earlier start time than the current one. Its check-ins are either late, or
 // it is a new boot on a machine whose clock was set back.
 type candidateBoot struct {
@@ -95,10 +120,10 @@
 // of a boot is never undone.
 func (s *targetState) applyCheckIn(checkIn *CheckIn, now time.Time) stateChange {
 	known := s.targetID != ""
-	id := bootID{checkIn.TargetID, checkIn.StartedAt}
+	id := checkIn.boot()
 	sameBoot := known && id == bootID{s.targetID, s.startedAt}
 	switch {
-	case known && !sameBoot && slices.Contains(s.retired, id):
+	case !sameBoot && (slices.Contains(s.retired, id) || s.hasDeparted(id)):
 		return changeNone
 	case known && checkIn.StartedAt < s.startedAt && !s.confirmReplacement(checkIn, now):
 		return changeNone
@@ -147,14 +172,58 @@
 	*s = targetState{
 		targetID: checkIn.TargetID, startedAt: checkIn.StartedAt, sequence: checkIn.Sequence, slots: checkIn.Slots,
 		draining: checkIn.Draining, lastHeard: now,
-		retired: retired[max(0, len(retired)-maxRetiredBoots):],
+		retired:    retired[max(0, len(retired)-maxRetiredBoots):],
+		departures: s.departures,
+	}
+}
+
+// boot returns the current boot.
+func (s *targetState) boot() bootID { return bootID{s.targetID, s.startedAt} }
+
+// hasDeparted reports whether a departure that was received for another than the current boot covers the boot.
+func (s *targetState) hasDeparted(id bootID) bool {
+	return slices.ContainsFunc(s.departures, func(d departure) bool { return d.covers(id) })
+}
+
+// restore makes stored, the state that an earlier process wrote, the basis of what this process has received so far. Check-ins
+// and departures that were acknowledged before the stored state was read have the same effect as if they had arrived after it.
+func (s *targetState) restore(stored targetState, now time.Time) {
+	received := *s
+	switch {
+	case stored.targetID == "" || slices.Contains(received.retired, stored.boot()):
+		return // nothing is stored, or a newer boot has replaced it
+	case received.boot() == stored.boot():
+		s.sequence = max(s.sequence, stored.sequence)
+		s.draining = s.draining || stored.draining
+		s.departed = s.departed || stored.departed
+		s.leaving, s.leavingHeardAt = stored.leaving, stored.leavingHeardAt
+		return
+	}
+	*s = stored
+	s.retired, s.departures = received.retired, received.departures
+	for _, left := range s.departures {
+		if left.covers(stored.boot()) {
+			s.applyDeparture(stored.targetID, stored.startedAt, now)
+		} else if left.targetID == stored.targetID && left.earliestStart > s.startedAt {
+			s.applyDeparture(left.targetID, left.earliestStart, now)
+		}
+	}
+	if received.targetID == "" {
+		return
+	}
+	s.applyCheckIn(&CheckIn{
+		TargetID: received.targetID, StartedAt: received.startedAt, Sequence: received.sequence, Slots: received.slots,
+		Draining: received.draining,
+	}, received.lastHeard)
+	if received.departed {
+		s.applyDeparture(received.targetID, received.startedAt, received.lastHeard)
 	}
 }
 
 // confirmReplacement records a check-in of a boot with an earlier start time than the current one and reports whether
 // that boot has replaced the current one: the current boot is silent while the other continues to check in.
 func (s *targetState) confirmReplacement(checkIn *CheckIn, now time.Time) bool {
-	id := bootID{checkIn.TargetID, checkIn.StartedAt}
+	id := checkIn.boot()
 	if s.candidate.bootID != id {
 		s.candidate = candidateBoot{id, now, checkIn.Sequence}
 		return false
@@ -164,10 +233,18 @@
 	return stillCheckingIn && now.Sub(s.lastHeard) >= bootSilenceTimeout
 }
 
-// applyDeparture marks the current boot as departed and draining. It reports false if the departure is of another boot
-// or was applied before. startedAt 0 matches any start time.
+// applyDeparture marks the current boot as departed and draining. It reports false if that was applied before, or if the
+// departure is of another boot, which is then not served if its check-ins arrive later. startedAt 0 matches any start time.
+// The departure of a later start of the same target also ends the current boot, whose id that start shares.
 func (s *targetState) applyDeparture(targetID string, startedAt int64, now time.Time) bool {
-	if s.targetID != targetID || startedAt != 0 && startedAt != s.startedAt || s.departed {
+	if s.targetID != "" && s.targetID == targetID && startedAt > s.startedAt {
+		s.startBoot(&CheckIn{TargetID: targetID, StartedAt: startedAt, Slots: s.slots}, now)
+	}
+	if s.targetID == "" || s.targetID != targetID || startedAt != 0 && startedAt != s.startedAt {
+		s.recordDeparture(newDeparture(targetID, startedAt, now))
+		return false
+	}
+	if s.departed {
 		return false
 	}
 	s.departed = true
@@ -175,3 +252,12 @@
 	s.lastHeard = now
 	return true
 }
+
+// recordDeparture remembers the departure of a boot that is not the current one.
+func (s *targetState) recordDeparture(left departure) {
+	if slices.Contains(s.departures, left) {
+		return
+	}
+	s.departures = append(slices.Clone(s.departures), left)
+	s.departures = s.departures[max(0, len(s.departures)-maxDepartures):]
+}
--- a/internal/node/checkin_test.go
+++ b/internal/node/checkin_test.go
@@ -97,3 +97,37 @@
 		}
 	})
 }
+
+// Guards against a boot that is served although its departure was acknowledged: before the stored state was read, before
+// the first check-in of the boot, or while another boot was the current one.
+func TestDepartedBootsAreNeverServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boots := []bootID{{"a", 1}, {"a", 2}, {"b", 2}, {"b", 3}, {"c", 1}}
+		anyBoot := rapid.SampledFrom(boots)
+		var s targetState
+		left := map[bootID]bool{}
+		var stored targetState
+		if rapid.Bool().Draw(t, "stored") {
+			boot := anyBoot.Draw(t, "stored boot")
+			stored = targetState{targetID: boot.targetID, startedAt: boot.startedAt, sequence: 3, lastHeard: at(0)}
+		}
+		restoreAt := rapid.IntRange(0, 20).Draw(t, "restored at step")
+		now := 0.0
+		for step := range 40 {
+			now += rapid.Float64Range(0, 4).Draw(t, "pause")
+			if step == restoreAt {
+				s.restore(stored, at(now))
+			}
+			boot := anyBoot.Draw(t, "boot")
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				s.applyDeparture(boot.targetID, boot.startedAt, at(now))
+				left[boot] = true
+			} else {
+				s.applyCheckIn(newCheckIn(boot.targetID, boot.startedAt, rapid.Uint64Range(1, 50).Draw(t, "sequence"), false), at(now))
+			}
+			if left[s.boot()] {
+				assert.Assert(t, s.departed && s.draining, "boot %v", s.boot())
+			}
+		}
+	})
+}
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -29,7 +29,7 @@
 
 	mu            sync.Mutex // held while a check-in or departure is applied
 	state         targetState
-	pending       *CheckIn // newest check-in received before the members were loaded
+	pending       *CheckIn // check-in of the current boot that was applied last before the members were loaded
 	membersLoaded bool
 	fullSpeed     int // see cluster.Member; 0: unknown
 	bootCount     int // number of handlers started by this process
@@ -69,15 +69,19 @@
 	}
 }
 
-// handleCheckIn applies a check-in and reports whether the target began to drain with it. The newest check-in that
-// arrives before the members are loaded is kept for restore.
+// handleCheckIn applies a check-in and reports whether the target began to drain with it. Before the members are loaded
+// it updates the state only; restore starts the boot.
 func (t *localTarget) handleCheckIn(checkIn *CheckIn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.membersLoaded {
-		if t.pending == nil || checkIn.StartedAt > t.pending.StartedAt || checkIn.Sequence > t.pending.Sequence {
+		t.state.applyCheckIn(checkIn, time.Now())
+		accepted := t.state.boot() == checkIn.boot() && t.state.sequence == checkIn.Sequence
+		if accepted {
 			t.pending = checkIn
 		}
+		klog.InfoS("check-in before the members are loaded", "target", checkIn.TargetID, "born", checkIn.StartedAt,
+			"sequence", checkIn.Sequence, "draining", checkIn.Draining, "accepted", accepted, "gone", t.state.departed)
 		return false
 	}
 	wasDraining := t.state.draining
@@ -96,41 +100,50 @@
 func (t *localTarget) handleDeparture(targetID string, startedAt int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.pending != nil && t.pending.TargetID == targetID {
-		t.pending.Draining = true
-	}
 	if !t.state.applyDeparture(targetID, startedAt, time.Now()) {
-		klog.InfoS("departure of an unknown target", "target", targetID, "born", startedAt, "known", t.state.targetID)
+		klog.InfoS("departure of an unknown target", "target", targetID, "born", startedAt, "known", t.state.targetID,
+			"known_born", t.state.startedAt, "members_loaded", t.membersLoaded)
+		return false
+	}
+	klog.InfoS("target left", "target", targetID, "born", t.state.startedAt, "members_loaded", t.membersLoaded)
+	if !t.membersLoaded {
 		return false
 	}
-	klog.InfoS("target left", "target", targetID, "born", t.state.startedAt)
 	t.beginDrain()
 	t.publishRow()
 	return true
 }
 
-// restore initializes the state from the row of an earlier process and begins to apply check-ins.
+// restore adds the state that an earlier process stored to what was received meanwhile, and starts the boot that has checked
+// in, unless it has left.
 func (t *localTarget) restore(storedRow membership.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.state.targetID == "" && storedRow.Target.ID != "" {
-		t.state = targetState{
-			targetID:  storedRow.Target.ID,
-			startedAt: storedRow.Target.StartedAt,
-			sequence:  storedRow.Target.Sequence,
-			slots:     storedRow.Target.Slots,
-			draining:  storedRow.Member.Draining && !storedRow.Leaving,
-			departed:  storedRow.Departed,
-			leaving:   storedRow.Leaving,
-			lastHeard: time.Now(),
-		}
-		t.state.leavingHeardAt = t.state.lastHeard
-	}
+	now := time.Now()
+	received := t.state.boot()
+	t.state.restore(targetState{
+		targetID:       storedRow.Target.ID,
+		startedAt:      storedRow.Target.StartedAt,
+		sequence:       storedRow.Target.Sequence,
+		slots:          storedRow.Target.Slots,
+		draining:       storedRow.Member.Draining && !storedRow.Leaving,
+		departed:       storedRow.Departed,
+		leaving:        storedRow.Leaving,
+		leavingHeardAt: now,
+		lastHeard:      now,
+	}, now)
 	t.fullSpeed = storedRow.Member.FullSpeed
 	t.membersLoaded = true
-	if t.pending != nil {
-		t.applyCheckIn(t.pending)
-		t.pending = nil
+	klog.InfoS("target restored", "target", t.state.targetID, "born", t.state.startedAt, "draining", t.state.isDraining(),
+		"gone", t.state.departed, "stored", storedRow.Target.ID, "received", received.targetID)
+	pending := t.pending
+	t.pending = nil
+	if t.state.departed && !storedRow.Departed {
+		t.publishRow()
+		return
+	}
+	if pending != nil && pending.boot() == t.state.boot() {
+		t.applyCheckIn(pending)
 	}
 }
 
