Confirm a target of an earlier process before serving it again

A node acknowledged a worker's departure while the store was down and was killed; the next process read a row that still showed a ready worker, and a check-in that had been sent before the departure started the worker again. Callers' requests ran at a worker that had left.

Cause: resume asks the health path before it serves a target of an earlier process, but the first check-in started it without asking. The rule that an acknowledgement binds holds for the node, not for the process that gave it.

Change: a boot that is known from the row of an earlier process starts when its health path shows that it serves, or when it has checked in over 2.5 s, as a target that has left sends no check-ins. Without a health path its first check-in starts it, as before. A late check-in of an earlier start of the same id no longer starts the current one.

Tests: platform.TestLateCheckInAfterKillStartsNothing failed before (200 in place of 503 for a departure and for a drain); TestRestartedNodeServesWorkerWithFailingHealthPath holds the other side: a worker whose health path wrongly answers 503 is served again.

--- a/internal/node/checkin.go
+++ b/internal/node/checkin.go
@@ -47,6 +47,9 @@
 	// replacementMinSpan is the time over which a boot with an earlier start time must check in before it is accepted
 	// as new. Check-ins that were delayed by a network partition arrive together.
 	replacementMinSpan = time.Second
+	// confirmationMinSpan is the time over which a boot of an earlier process must check in before it is served without the
+	// confirmation of its health path: three check-ins. A target that has left sends none; the late ones end.
+	confirmationMinSpan = 2500 * time.Millisecond
 	// maxRetiredBoots bounds the number of earlier boots that are remembered.
 	maxRetiredBoots = 8
 	// maxDepartures bounds the number of remembered departures of boots that were not the current one.
@@ -66,9 +69,13 @@
 	leaving        bool
 	leavingHeardAt time.Time
 
-	lastHeard time.Time // time of the last check-in or departure of the current boot
-	candidate candidateBoot
-	retired   []bootID // earlier boots, oldest first
+	// inherited is set while the boot is known from the row of an earlier process. That process may have acknowledged a
+	// drain or departure that it could not store before it ended.
+	inherited    bool
+	firstCheckIn time.Time // first check-in of the current boot at this process; zero before
+	lastHeard    time.Time // time of the last check-in or departure of the current boot
+	candidate    candidateBoot
+	retired      []bootID // earlier boots, oldest first
 	// departures are acknowledged departures of boots that were not the current one when they arrived, oldest first. A
 	// departure can overtake the check-ins of its boot, and it can arrive before the row of an earlier process is read.
 	departures []departure
@@ -136,6 +143,9 @@
 		return changeNone
 	}
 	s.sequence, s.lastHeard = checkIn.Sequence, now
+	if s.firstCheckIn.IsZero() {
+		s.firstCheckIn = now
+	}
 	if checkIn.Draining && !s.draining {
 		s.draining = true
 		return changeDraining
@@ -171,7 +181,7 @@
 	}
 	*s = targetState{
 		targetID: checkIn.TargetID, startedAt: checkIn.StartedAt, sequence: checkIn.Sequence, slots: checkIn.Slots,
-		draining: checkIn.Draining, lastHeard: now,
+		draining: checkIn.Draining, firstCheckIn: now, lastHeard: now,
 		retired:    retired[max(0, len(retired)-maxRetiredBoots):],
 		departures: s.departures,
 	}
@@ -180,6 +190,12 @@
 // boot returns the current boot.
 func (s *targetState) boot() bootID { return bootID{s.targetID, s.startedAt} }
 
+// needsConfirmation reports whether the boot may have left without the knowledge of this process, so that a check-in alone,
+// which may be a late one, does not show that it can be served.
+func (s *targetState) needsConfirmation() bool {
+	return s.inherited && !s.isDraining() && s.lastHeard.Sub(s.firstCheckIn) < confirmationMinSpan
+}
+
 // hasDeparted reports whether a departure that was received for another than the current boot covers the boot.
 func (s *targetState) hasDeparted(id bootID) bool {
 	return slices.ContainsFunc(s.departures, func(d departure) bool { return d.covers(id) })
@@ -197,9 +213,11 @@
 		s.draining = s.draining || stored.draining
 		s.departed = s.departed || stored.departed
 		s.leaving, s.leavingHeardAt = stored.leaving, stored.leavingHeardAt
+		s.inherited = true
 		return
 	}
 	*s = stored
+	s.inherited = true
 	s.retired, s.departures = received.retired, received.departures
 	for _, left := range s.departures {
 		if left.covers(stored.boot()) {
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -164,20 +164,30 @@
 		storedRow.Member.Service != t.node.settings.Service {
 		return
 	}
-	report, serving := t.checkServing(ctx, storedRow.Target.ID)
+	t.startIfServing(ctx, &CheckIn{
+		TargetID: storedRow.Target.ID, StartedAt: storedRow.Target.StartedAt, Slots: storedRow.Target.Slots,
+	})
+}
+
+// startIfServing starts a boot of an earlier process if the target's health path shows that it serves. A target without a
+// health path is started by its first check-in.
+func (t *localTarget) startIfServing(ctx context.Context, checkIn *CheckIn) {
+	report, serving := t.checkServing(ctx, checkIn.TargetID)
 	if report.Leaving {
-		t.recordLeaving(bootID{storedRow.Target.ID, storedRow.Target.StartedAt}, "health")
-	}
-	if !serving {
-		return
+		t.recordLeaving(checkIn.boot(), "health")
 	}
+	service := t.node.view.Load().Service(t.node.settings.Service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current.Load() != nil || t.state.targetID != storedRow.Target.ID || t.state.startedAt != storedRow.Target.StartedAt || t.state.isDraining() {
-		return // a check-in has arrived in the meantime
+	checkedIn := !t.state.firstCheckIn.IsZero()
+	if service != nil && service.HealthPath == "" {
+		serving = checkedIn
+	}
+	if !serving || t.current.Load() != nil || t.state.boot() != checkIn.boot() || t.state.isDraining() {
+		return // a check-in may have arrived in the meantime
 	}
-	t.startBoot(&CheckIn{TargetID: t.state.targetID, StartedAt: t.state.startedAt, Slots: t.state.slots})
-	t.current.Load().resumed = true
+	t.startBoot(checkIn)
+	t.current.Load().resumed = !checkedIn
 	t.current.Load().handler.ApplyServing(report)
 	t.publishRow()
 }
@@ -275,8 +285,12 @@
 	if current := t.current.Load(); current != nil && changed != changeNewBoot && checkIn.TargetID == t.state.targetID {
 		current.resumed = false
 	}
-	notServed := t.current.Load() == nil && !t.state.departed && t.state.targetID == checkIn.TargetID
+	notServed := t.current.Load() == nil && !t.state.departed && t.state.boot() == checkIn.boot()
 	switch {
+	case changed != changeNewBoot && notServed && t.state.needsConfirmation():
+		klog.InfoS("target of an earlier process checks in", "target", checkIn.TargetID, "born", checkIn.StartedAt, "sequence", checkIn.Sequence)
+		go t.startIfServing(context.Background(), checkIn) // ends after resumeTimeout
+		return
 	case changed == changeNewBoot || notServed:
 		t.startBoot(checkIn)
 	case changed == changeNone && checkIn.TargetID == t.state.targetID && t.state.mayHaveWithdrawn(time.Now()):
