Log answers that break off, with the side that ended them

A caller whose connection is closed in the middle of an answer left a counter only (answer.aborted). A report of requests that were passed on and got no answer can't be traced without the request, the member and the error.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -149,7 +149,7 @@
 		stop := context.AfterFunc(c.request.Context(), func() { _ = final.response.Body.Close() })
 		defer stop()
 		h.logAnswer(c, final)
-		h.stream(w, final.response)
+		h.stream(w, c, final)
 	}
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -25,6 +25,14 @@
 		"first_byte_after", final.latency.Round(time.Millisecond), "left", c.remaining().Round(time.Millisecond))
 }
 
+// logAbort logs that the caller's connection is closed because the rest of an answer did not arrive, or because the caller
+// left or does not read.
+func (h *Handler) logAbort(c *call, final result, copied int64, err error) {
+	klog.InfoS("answer broke off", "request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name,
+		"member", final.memberID, "status", final.response.StatusCode, "length", final.response.ContentLength, "copied", copied,
+		"caller_left", c.request.Context().Err() != nil, "err", err.Error(), "left", c.remaining().Round(time.Millisecond))
+}
+
 // logRefusal logs why a request was refused before any attempt.
 func (h *Handler) logRefusal(request *http.Request, failed *failure.Error) {
 	klog.InfoS("request refused", "request", request.Header.Get(h.config.RequestIDHeader), "reason", failed.Reason,
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -25,15 +25,17 @@
 
 // stream copies a node's response to the caller. When the response is truncated it aborts the caller's connection, so
 // that the caller can't take it for complete.
-func (h *Handler) stream(w http.ResponseWriter, response *http.Response) {
+func (h *Handler) stream(w http.ResponseWriter, c *call, final result) {
+	response := final.response
 	defer response.Body.Close()
 	copyHeader(w.Header(), response.Header)
 	for name := range response.Trailer {
 		w.Header().Add("Trailer", name)
 	}
 	w.WriteHeader(response.StatusCode)
-	if err := copyBody(w, response); err != nil {
+	if copied, err := copyBody(w, response); err != nil {
 		h.config.Metrics.Counter("answer.aborted").Inc(1)
+		h.logAbort(c, final, copied, err)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
@@ -50,9 +52,9 @@
 	wire.RemoveHeaders(dst, internalHeaders)
 }
 
-// copyBody copies the response body. When its length is unknown it flushes after each read, so that the caller gets the
-// parts of a slow response as they arrive.
-func copyBody(w http.ResponseWriter, response *http.Response) error {
+// copyBody copies the response body and returns the number of bytes that it copied. When the body's length is unknown it
+// flushes after each read, so that the caller gets the parts of a slow response as they arrive.
+func copyBody(w http.ResponseWriter, response *http.Response) (copied int64, err error) {
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	flush := response.ContentLength < 0
@@ -61,18 +63,19 @@
 		n, readErr := response.Body.Read(buffer[:])
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
+				return copied, err
 			}
+			copied += int64(n)
 		}
 		if errors.Is(readErr, io.EOF) {
-			return nil
+			return copied, nil
 		}
 		if readErr != nil {
-			return readErr
+			return copied, readErr
 		}
 		if flush {
 			if err := controller.Flush(); err != nil {
-				return err
+				return copied, err
 			}
 		}
 	}
