Log the number of an attempt's own send

A failed attempt was logged with the call's current number of sends, which the call's goroutine changes when it sends a hedge at the same time: a data race, and the number of another send in the line. No caller saw it.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -154,8 +154,8 @@
 }
 
 // reportResult reports an attempt's result to the balancer, the latency tracker and the metrics, logs a failure, and
-// returns the result with the member's id.
-func (h *Handler) reportResult(c *call, pick balance.Pick, res result) result {
+// returns the result with the member's id. send is the number of the attempt's send.
+func (h *Handler) reportResult(c *call, pick balance.Pick, send int, res result) result {
 	if res.response != nil {
 		h.latencies.route(c.route()).record(res.latency, time.Now())
 	}
@@ -164,7 +164,7 @@
 	}
 	report := balance.Result{Sample: res.sample, Latency: res.latency, CurrentID: res.currentID, LimitNamed: res.limitNamed}
 	if res.failed != nil {
-		h.logAttempt(c, pick, res.failed)
+		h.logAttempt(c, pick, send, res.failed)
 		report.Class, report.Reason, report.RetryAfter = classify(res.failed), res.failed.Reason, res.failed.RetryAfter
 	}
 	pick.Done(report)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -141,7 +141,7 @@
 	a := k.handler.newAttempt(k.call, pick)
 	a.id = id
 	a.grant = &grantHeaders{owner: claimResult.Owner, rosterVersion: claimResult.RosterVersion}
-	res := k.handler.reportResult(k.call, pick, a.run(ctx))
+	res := k.handler.reportResult(k.call, pick, a.sends, a.run(ctx))
 	if res.failed == nil || res.failed.Outcome != failure.NotRun {
 		return res, true
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -41,13 +41,13 @@
 
 // logAttempt logs how a send failed. Moves to another target are logged for a sample of the requests only, because a
 // third of all sends may be moves.
-func (h *Handler) logAttempt(c *call, pick balance.Pick, failed *failure.Error) {
+func (h *Handler) logAttempt(c *call, pick balance.Pick, send int, failed *failure.Error) {
 	id := c.request.Header.Get(h.config.RequestIDHeader)
 	if failed.Reason.IsMove() && !telemetry.Sampled(id) {
 		return
 	}
 	klog.InfoS("attempt failed", "request", id, "member", pick.Member.ID,
-		"send", c.sends, "reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
+		"send", send, "reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
 		"left", c.remaining().Round(time.Millisecond))
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -107,7 +107,7 @@
 	a.pinned = a.pinned || pick.Limited
 	a.canOverflow = !a.overflow && h.canOverflowEarly(c, policy)
 	go func() {
-		res := h.reportResult(c, pick, a.runRecovered(ctx))
+		res := h.reportResult(c, pick, a.sends, a.runRecovered(ctx))
 		res.overflow, res.pinned, res.allLimited = a.overflow, a.pinned, pick.Limited
 		results <- res
 	}()
