Read an answer whole before forwarding it to the caller

Cause: the entry node forwarded the head of an answer as soon as it arrived. When the connection between the nodes broke before the body had arrived, it could only close the caller's connection. The node beside the target reads bodies ahead for this reason; the hop between the nodes had no such step, and head and body crossed it in separate writes. Nothing bounded the wait for the rest.

Change: answers of known length up to 128 KiB are read whole first. A break is a failure: idempotent requests are retried within the budget, others are asked about at the target's node and answered 502. The deadline ends the wait. The node beside the target writes head and body together when it has both.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -176,20 +177,54 @@
 // handleRoundTrip converts the result of the round trip, and resolves the outcome when the connection broke.
 func (a *attempt) handleRoundTrip(ctx context.Context, rt roundTripResult) result {
 	if rt.err == nil {
-		return a.handleResponse(rt.response)
+		return a.handleResponse(ctx, rt.response)
 	}
 	defer a.cancel()
 	if !rt.sendStatus.GotConn() {
 		return result{failed: failure.Wrap(rt.err, failure.ConnectFailed, failure.NotRun, "no connection to node %s", a.member.ID)}
 	}
+	return a.connectionLost(ctx, rt.err)
+}
+
+// connectionLost returns the result of an attempt whose connection broke before the answer was complete.
+func (a *attempt) connectionLost(ctx context.Context, err error) result {
 	if a.call.idempotent {
-		return result{failed: failure.Wrap(rt.err, failure.ConnectionLost, failure.Unknown, "the connection to node %s broke", a.member.ID)}
+		return result{failed: failure.Wrap(err, failure.ConnectionLost, failure.Unknown, "the connection to node %s broke", a.member.ID)}
 	}
 	return a.resolveOutcome(ctx, failure.ConnectionLost)
 }
 
+// readAhead reads the whole body of an answer whose length is known and at most Config.ReadAheadBytes. Nothing of the
+// answer has been sent to the caller then, so that a connection that breaks is a failure that can be retried or reported;
+// later, only the caller's connection can be closed. ctx bounds the time.
+func (a *attempt) readAhead(ctx context.Context, response *http.Response) error {
+	length := response.ContentLength
+	if length <= 0 || length > int64(a.handler.config.ReadAheadBytes) || a.call.request.Method == http.MethodHead {
+		return nil
+	}
+	defer context.AfterFunc(ctx, a.cancel)()
+	body := make([]byte, length)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return err
+	}
+	_ = response.Body.Close() // at its end: the connection is reused
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+// handleBrokenAnswer returns the result of an attempt whose answer had begun and did not arrive whole.
+func (a *attempt) handleBrokenAnswer(ctx context.Context, response *http.Response, err error) result {
+	defer a.cancel()
+	_ = response.Body.Close()
+	a.handler.config.Metrics.Counter("answer.incomplete").Inc(1)
+	if ctx.Err() != nil {
+		return a.abandonedResult(ctx)
+	}
+	return a.connectionLost(ctx, err)
+}
+
 // handleResponse converts a response: one with wire.Reason is a refusal by the node, any other is the target's.
-func (a *attempt) handleResponse(response *http.Response) result {
+func (a *attempt) handleResponse(ctx context.Context, response *http.Response) result {
 	res := result{response: response, latency: time.Since(a.started)}
 	if sample, err := wire.ParseLoadSample(response.Header.Get(wire.Load)); err == nil {
 		res.sample = &sample
@@ -202,6 +237,11 @@
 	state := a.handler.states.record(a.member.PeerAddr, memberID, response.Header.Get(wire.TargetStatus), reason == "", time.Now())
 	res.limitNamed = state.Limit > 0
 	if reason == "" {
+		if err := a.readAhead(ctx, response); err != nil {
+			broken := a.handleBrokenAnswer(ctx, response, err)
+			broken.sample, broken.limitNamed = res.sample, res.limitNamed
+			return broken
+		}
 		response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: a.cancel}
 		return res
 	}
@@ -233,6 +273,11 @@
 // or the node stops.
 func (a *attempt) abandon(ctx context.Context, roundTrip chan roundTripResult) result {
 	defer a.discard(roundTrip)
+	return a.abandonedResult(ctx)
+}
+
+// abandonedResult returns the result of an attempt whose context ended.
+func (a *attempt) abandonedResult(ctx context.Context) result {
 	if a.handler.stopped.Err() != nil && a.call.request.Context().Err() == nil {
 		return a.abandonAtStop(ctx)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -39,6 +39,7 @@
 type silentNet struct {
 	mu    sync.Mutex
 	conns []*silentConn
+	wrap  func(net.Conn) net.Conn // applied to new connections; nil: none
 }
 
 // silentConn is a connection of a silentNet.
@@ -54,6 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.wrap != nil {
+		conn = s.wrap(conn)
+	}
 	wrapped := &silentConn{Conn: conn, silent: make(chan struct{}), closed: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -20,7 +20,8 @@
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
-// Config configures a Handler. All fields are required except Keys, RequestIDHeader and WriteRefusal.
+// Config configures a Handler. All fields are required except Keys, ReadAheadBytes, RequestIDHeader and
+// WriteRefusal.
 type Config struct {
 	View      *cluster.View
 	Transport *forward.Transport
@@ -31,6 +32,9 @@
 	// Keys claims Idempotency-Keys; nil refuses calls that carry one.
 	Keys    *keys.Client
 	Metrics *telemetry.Registry
+	// ReadAheadBytes is the size in bytes up to which the body of an answer is read before its header is sent to the caller,
+	// so that an answer that does not arrive whole becomes a failure that can be retried; 0: answers are streamed.
+	ReadAheadBytes int
 	// RequestIDHeader is the name of the header whose value identifies a caller's request in logs; empty: requests are
 	// logged without an id.
 	RequestIDHeader string
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -64,7 +64,7 @@
 	_ = control.SetWriteDeadline(e.forwarded.deadline)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // the connection is reused for further requests
 	announced := e.writeHeader(response)
-	if response.ContentLength != 0 {
+	if response.ContentLength != 0 && !e.bodyBuffered {
 		_ = control.Flush() // a write error surfaces while the body is copied
 	}
 	recorder := e.newAnswerRecorder(response)
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -29,6 +29,7 @@
 	tracked          *quarantine.TrackedRequest
 	notAfter         time.Time
 	responseComplete bool // the target's response was read to its end
+	bodyBuffered     bool // the whole body was read before the header is written
 	cancelled        bool // the request to the target was cancelled, by the caller or at the deadline
 
 	mu                sync.Mutex
@@ -248,6 +249,7 @@
 	}
 	if len(head) < limit {
 		response.ContentLength = int64(len(head))
+		e.bodyBuffered = true
 	}
 	rest := response.Body
 	response.Body = struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,7 @@
 		Policies:        n.policies,
 		Attempts:        n.peers.AttemptsUnpooled,
 		Metrics:         n.metrics,
+		ReadAheadBytes:  readAheadBytes,
 		WriteRefusal:    adapter.WriteRefusal,
 		RequestIDHeader: adapter.RequestIDHeader(),
 	})
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -18,8 +18,8 @@
 	"github.com/acacialock/acacialock/internal/rpc"
 )
 
-// readAheadBytes is the response size up to which the whole body is checked before it is passed on. The largest usual
-// responses have 30 KB.
+// readAheadBytes is the response size up to which both nodes on its way read the whole body before they pass it on. The
+// largest usual responses have 30 KB.
 const readAheadBytes = 128 << 10
 
 // localTarget holds the handlers of the target's current boot and of the one before, whose attempts other nodes may
