Divide the drain timeout in proportion when it is short

Reported by other operators: in a planned stop, requests that came late were taken, passed on and cut at its end, among them some that may not be repeated. With the drain timeouts of the known sites (6 and 10 s) this does not happen here: callers are taken for 3 s, later requests are closed unread, and calls are abandoned with an answer in the last sixth only. With a drain timeout of 4 s, callers were taken until 3 s and their calls abandoned at 3.05 s.

Cause: fixed margins of 3 s and 0.95 s, whatever the drain timeout.

Change: newStopSchedule divides the drain timeout: callers are taken for half of it at most, and calls end no earlier than its last sixth.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,21 +63,6 @@
 	// large as the noise in these estimates, so that calls leave their zone only for shorter waits. 30 ms halved the
 	// bytes between zones on hqbw-mesh-grown without later responses (docs/measurements.md).
 	crossZoneCost = 30 * time.Millisecond
-	// callerDrainDelay is the time for which callers may continue to arrive after the node stopped being ready: two
-	// readiness checks one second apart, and a request in flight.
-	callerDrainDelay = 3 * time.Second
-	// targetGracePeriod is the time for which a stopping node continues to send new requests to a target that stays.
-	// Refusing them at once took each target out of service for 3 s during a rolling restart. It is half of
-	// callerDrainDelay, for which a node waits anyway, and leaves 3.5 s of the platforms' shortest drain timeout, 6 s,
-	// for requests in flight.
-	targetGracePeriod = 1500 * time.Millisecond
-	// targetGraceDivisor limits the grace period to a quarter of the drain timeout.
-	targetGraceDivisor = 4
-	// exitMargin is the part of the drain timeout that is reserved for the exit of the process.
-	exitMargin = 700 * time.Millisecond
-	// answerMargin is the additional time, before exitMargin, in which calls that are abandoned because the node stops
-	// can be answered. It covers a query to a target's node.
-	answerMargin = 250 * time.Millisecond
 	// rowRemovalTimeout bounds the removal of the node's own row at shutdown.
 	rowRemovalTimeout = 500 * time.Millisecond
 )
@@ -262,18 +247,17 @@
 	klog.InfoS("stopping", "node", n.self.ID, "target_left", n.target.departed())
 	n.draining.Store(true)
 	n.directory.StopRelay()
-	deadline := started.Add(n.settings.CurrentDrainTimeout() - exitMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	schedule := newStopSchedule(n.settings.CurrentDrainTimeout())
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(schedule.exit))
 	defer cancel()
-	n.entry.EndCallsBy(deadline.Add(-answerMargin))
+	n.entry.EndCallsBy(started.Add(schedule.endCalls))
 	if n.target.departed() {
 		n.removeRow()
 	} else {
-		// If ctx ends here, Shutdown below returns at once.
-		_ = timing.Sleep(ctx, min(targetGracePeriod, n.settings.CurrentDrainTimeout()/targetGraceDivisor))
+		_ = timing.Sleep(ctx, schedule.drainTarget) // if ctx ends here, Shutdown below returns at once
 	}
 	n.target.stopServing()
-	_ = timing.Sleep(ctx, callerDrainDelay-time.Since(started))
+	_ = timing.Sleep(ctx, schedule.closeListeners-time.Since(started))
 	err := n.servers.Shutdown(ctx)
 	klog.InfoS("stopped", "node", n.self.ID, "after", time.Since(started).Round(time.Millisecond), "complete", err == nil)
 	return err
