Use member rows only if a node could have written them

Reported by other operators: one odd entry among those of the workers ended the machines that read it, or they stopped following the list. No process ends here, but a row that decodes was used as it stood: a port out of range or another node's id made a member, a foreign address hid the real one, and an absurd bandwidth made the first choice as reader of the region. A row that another writer had overwritten stayed lost to nodes that started later.

Cause: only the syntax of a row was checked.

Change: DecodeRow validates the fields that nodes use and returns a RowError; the last usable row of the key stays in force. A node that finds an unusable row under its own name writes its row again.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -256,9 +256,13 @@
 		delete(d.rows, changed.Key)
 		return
 	}
-	row, err := DecodeRow(changed.Value)
+	row, err := DecodeRow(changed.Key, changed.Value)
 	if err != nil {
 		klog.InfoS("member row ignored: not readable", "key", changed.Key, "version", changed.Version, "err", err.Error())
+		d.config.Metrics.Counter("member.row-invalid").Inc(1)
+		if changed.Key == d.config.Name {
+			d.rewriteOwnRow()
+		}
 		return
 	}
 	if changed.Key == d.config.Name {
@@ -278,6 +282,20 @@
 	}
 }
 
+// rewriteOwnRow writes the announced row again after another writer has overwritten it with one that no node can use. A usable
+// row of another process with this node's name is not overwritten: the two would replace each other's rows without end.
+func (d *Directory) rewriteOwnRow() {
+	if d.announcedRow.Load() == nil {
+		return
+	}
+	klog.InfoS("own row overwritten, writing it again", "key", d.config.Name, "version", d.ownRowVersion.Load())
+	d.ownRowStored.Store(false)
+	select {
+	case d.ownRowChanged <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, _ bool) {
 	if !isClosed(d.listLoaded) {
 		close(d.listLoaded)
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -112,7 +112,7 @@
 func (f *memoryFeed) storedRow(key string) Row {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	row, _ := DecodeRow(f.rows[MembersTable][key].Value)
+	row, _ := DecodeRow(key, f.rows[MembersTable][key].Value)
 	return row
 }
 
--- a/internal/membership/endless_test.go
+++ b/internal/membership/endless_test.go
@@ -88,7 +88,7 @@
 		assert.NilError(f, err)
 		f.Add(text)
 	}
-	f.Add(encodeRow(Row{Member: cluster.Member{ID: "a@1", Service: "orders"}, Target: TargetStart{ID: "t", StartedAt: 1}}))
+	f.Add(encodeRow(Row{Member: cluster.Member{ID: "a@1", Service: "orders", PeerAddr: "10.0.0.1:1"}, Target: TargetStart{ID: "t", StartedAt: 1}}))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var decoded frame
 		if json.Unmarshal(text, &decoded) == nil {
@@ -98,8 +98,8 @@
 				}
 			}
 		}
-		if row, err := DecodeRow(text); err == nil {
-			again, err := DecodeRow(encodeRow(row))
+		if row, err := DecodeRow("a", text); err == nil {
+			again, err := DecodeRow("a", encodeRow(row))
 			assert.NilError(t, err)
 			assert.Equal(t, again, row)
 		}
--- a/internal/operator/nodes.go
+++ b/internal/operator/nodes.go
@@ -68,7 +68,7 @@
 		return RowStoreStatus{}, eris.Wrap(err, "read the members")
 	}
 	for _, row := range rows {
-		decoded, err := membership.DecodeRow(row.Value)
+		decoded, err := membership.DecodeRow(row.Key, row.Value)
 		if err != nil {
 			status.Unreadable = append(status.Unreadable, row.Key)
 			continue
