Test the memory of bodies without end

Reported by other operators: a worker sent bytes without end, and the machine that had called it kept them all. Heads without end had a test of the heap, bodies only one of their end at the deadline. No change of the product was needed.

--- a/internal/inbound/endless_test.go
+++ b/internal/inbound/endless_test.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,6 +173,60 @@
 	assert.Assert(t, peak < before+maxGrowth, "the heap grew from %d to %d bytes", before, peak)
 }
 
+// Guards against memory that grows with a body without end: neither callers that do not read nor callers that read as fast as
+// the target sends may make the node keep it.
+func TestEndlessBodiesNeedLittleMemory(t *testing.T) {
+	const requests, maxGrowth = 20, 60 << 20 // a third of the smallest machine's memory
+	for name, start := range map[string]string{
+		"until the connection closes": "HTTP/1.1 200 OK\r\n\r\n",
+		"chunked":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"longer than announced":       "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			repeat := strings.Repeat("x", 1000)
+			if name == "chunked" {
+				repeat = "3e8\r\n" + repeat + "\r\n"
+			}
+			target := &rawTarget{start: start, repeat: repeat}
+			node := startNode(t, target.listen(t), func(c *Config) {
+				c.Slots = requests
+				c.ReadAheadBytes = 128 << 10
+			})
+			heap := func() uint64 {
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				return stats.HeapAlloc
+			}
+			runtime.GC()
+			before := heap()
+			var readers sync.WaitGroup
+			var peak atomic.Uint64
+			for i := range requests {
+				readers.Go(func() {
+					response, err := node.client.Transport.RoundTrip(node.request(context.Background(), call{
+						method: "GET", path: rawTargetPath, idempotent: true, timeout: 500 * time.Millisecond,
+						header: http.Header{wire.Stay: {"1"}}}))
+					if err != nil {
+						return
+					}
+					defer response.Body.Close()
+					if i%2 == 0 {
+						time.Sleep(600 * time.Millisecond) // reads nothing until the deadline has passed
+					}
+					for buffer := make([]byte, 32<<10); err == nil; {
+						_, err = response.Body.Read(buffer)
+						peak.Store(max(peak.Load(), heap()))
+					}
+				})
+			}
+			readers.Wait()
+			t.Logf("heap before %d, peak %d, sent %d bytes", before, peak.Load(), target.sent.Load())
+			assert.Assert(t, peak.Load() < before+maxGrowth, "the heap grew from %d to %d bytes", before, peak.Load())
+			poll.WaitOn(t, func(poll.LogT) poll.Result { return poll.Compare(cmp.Equal(node.LoadSample().InFlight, 0)) })
+		})
+	}
+}
+
 // Guards against an informational response that arrives while the refusal is written: it cleared the refusal's headers, and
 // the concurrent writes to the header could end the process. The request has ended at its deadline.
 func TestInformationalResponseAfterTheEndIsDiscarded(t *testing.T) {
