Keep a body whole when its answer begins before its end

Cause: net/http discards up to 256 KiB of the body when the header of an answer is written, while the send still reads it, and closes the connection at once when an unread body is not its own any more.

Change: such an answer enables full duplex at the entry and closes the connection afterwards. The send gets an error once the answer is complete, so that its target sees a body that breaks off. The server's own body is put back into the request, so that it waits before the close; the target's node, where that is not possible, discards the rest itself.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,18 +7,28 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxReplayBytes is the size of the largest request body that is buffered for another send.
 const maxReplayBytes = 64 << 10
 
-// errBodySuperseded is returned to the reader of a send after a later send has started.
+const (
+	// lingerTimeout is how long the server discards the rest of a caller's body after the answer. Closing the connection at
+	// once would reset it while the caller still sends, which can destroy the part of the answer that it has not read yet.
+	lingerTimeout = 500 * time.Millisecond
+	// finalReadTimeout is how long the end of the answer waits for a read of the body in progress.
+	finalReadTimeout = 50 * time.Millisecond
+)
+
+// errBodySuperseded is returned to the reader of a send after a later send has started, or after the answer.
 var errBodySuperseded = errors.New("the request body is read by a later send")
 
 // requestBody gives each send of a call its own reader of the caller's body.
 type requestBody struct {
-	stream io.ReadCloser // caller's body when it is streamed; nil: it was read before the first send
-	length int64         // -1: unknown
+	stream     io.ReadCloser // caller's body when it is streamed; nil: it was read before the first send
+	serverBody io.ReadCloser // the same without a limit of its size, as the server passed it
+	length     int64         // -1: unknown
 
 	current  atomic.Pointer[streamReader] // reader of the latest send
 	tooLarge atomic.Bool                  // more than maxReplayBytes were read from stream; buffered is dropped
@@ -78,6 +88,48 @@
 	return b.err
 }
 
+// beginAnswer prepares the caller's connection for an answer that begins before the body was read to its end. Without full
+// duplex, net/http discards up to 256 KiB of the body when the header is written, while the send still reads it: those bytes
+// would be missing in the middle of what the target gets. The connection is not used again then, since the server would not
+// know where the next request starts.
+func (b *requestBody) beginAnswer(w http.ResponseWriter) {
+	if !b.streamed() || b.atEnd() {
+		return
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex() // fails only for HTTP/2, which is always full duplex
+	w.Header().Set("Connection", "close")
+}
+
+// atEnd reports whether a streamed body was read to its end.
+func (b *requestBody) atEnd() bool {
+	if !b.mu.TryLock() {
+		return false // a read is in progress
+	}
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF)
+}
+
+// finishAnswer ends the reads of a streamed body after the answer, before the server discards the rest. A send that has not
+// read the body to its end gets an error, so that its target sees a body that breaks off.
+//
+// It also restores the body that the server gave to request: from another one, such as http.MaxBytesReader, the server can't
+// tell that a part was left unread, and would close the connection without waiting for the caller to read the answer.
+func (b *requestBody) finishAnswer(w http.ResponseWriter, request *http.Request) {
+	if !b.streamed() || b.atEnd() {
+		return
+	}
+	request.Body = b.serverBody
+	control := http.NewResponseController(w)
+	b.current.Store(nil)
+	_ = control.SetReadDeadline(time.Now().Add(finalReadTimeout))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		b.err = errBodySuperseded
+	}
+	_ = control.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
 // streamReader is the body of one send: it returns the buffered bytes first, then reads from the caller.
 type streamReader struct {
 	body   *requestBody
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,6 +65,7 @@
 	if failed := c.checkAccess(); failed != nil {
 		return nil, failed
 	}
+	serverBody := request.Body
 	if limit := snapshot.List.CallerLimits.MaxBodyBytes; limit > 0 {
 		if request.ContentLength > limit {
 			return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the body has %d bytes, %d are allowed", request.ContentLength, limit)
@@ -77,6 +78,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.BadRequest, failure.NotRun, "the request body ended early")
 	}
+	body.serverBody = serverBody
 	c.body = body
 	if stopTime := h.endCallsBy.Load(); stopTime != nil && stopTime.Before(c.deadline) {
 		c.deadline = *stopTime
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -29,6 +29,8 @@
 	response := final.response
 	defer response.Body.Close()
 	copyHeader(w.Header(), response.Header)
+	c.body.beginAnswer(w)
+	defer c.body.finishAnswer(w, c.request)
 	for name := range response.Trailer {
 		w.Header().Add("Trailer", name)
 	}
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -85,6 +85,7 @@
 	wire.RemoveHeaders(response.Header, internalResponseHeaders)
 	header := e.w.Header()
 	addHeader(header, response.Header)
+	e.body.beginAnswer(header, response.ContentLength >= 0)
 	announced := slices.Collect(maps.Keys(response.Trailer))
 	for _, name := range announced {
 		header.Add("Trailer", name)
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -16,6 +16,11 @@
 	maxDiscardBytes = 256 << 10
 	// discardTimeout limits the wait for the unread part. It can be short because small bodies arrive with their header.
 	discardTimeout = 5 * time.Millisecond
+	// lingerTimeout is how long the server discards the rest of a body after an answer that began before its end. Closing the
+	// connection at once would reset it while the entry node still sends, which can destroy the end of the answer.
+	lingerTimeout = 500 * time.Millisecond
+	// finalReadTimeout is how long the end of the answer waits for a read of the body in progress.
+	finalReadTimeout = 50 * time.Millisecond
 )
 
 // errBodyClosed is returned to the transport when the exchange ended before the request body was read to its end.
@@ -31,6 +36,8 @@
 	control         *http.ResponseController
 	deadline        time.Time
 	closed          atomic.Bool
+	answeredEarly   bool // the answer began before the end of the body; set by the goroutine of the handler
+	lengthKnown     bool // the answer that began early has a known length
 
 	mu           sync.Mutex // held during a read
 	bytesRead    int64      // bytes read from source
@@ -134,6 +141,42 @@
 	return body
 }
 
+// beginAnswer is called before the header of an answer is written. If the body was not read to its end, the connection is not
+// used again, since the server would not know where the next request starts. lengthKnown is true if the answer has a known
+// length.
+func (b *requestBody) beginAnswer(header http.Header, lengthKnown bool) {
+	if b.length == 0 || b.atEnd() {
+		return
+	}
+	b.answeredEarly, b.lengthKnown = true, lengthKnown
+	header.Set("Connection", "close")
+}
+
+// atEnd reports whether the body was read to its end.
+func (b *requestBody) atEnd() bool {
+	if !b.mu.TryLock() {
+		return false // a read is in progress
+	}
+	defer b.mu.Unlock()
+	return b.err == io.EOF || b.err == nil && b.bytesRead == b.length
+}
+
+// finishEarly ends all reads after an answer that began before the end of the body. The server then discards up to 256 KiB of
+// the rest and closes the connection. Of a body of known length with more left it would discard nothing, so the rest is
+// discarded here: the entry node closes the connection when it has the whole answer. An answer of unknown length ends only when
+// the handler returns.
+func (b *requestBody) finishEarly() {
+	b.closed.Store(true)
+	_ = b.control.SetReadDeadline(time.Now().Add(finalReadTimeout)) // also ends a read in progress
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.control.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if b.lengthKnown && b.err == nil {
+		_ = b.control.Flush()
+		_, _ = io.Copy(io.Discard, b.source) // ends with the connection, the body or lingerTimeout
+	}
+}
+
 // finish ends all reads, so that none is running when the handler returns. It discards the unread part of the body if
 // that has already arrived. Otherwise the connection can't be reused, and finish sets "Connection: close" in header,
 // which takes effect if the header has not been sent.
@@ -144,6 +187,10 @@
 	if b.length == 0 {
 		return
 	}
+	if b.answeredEarly {
+		b.finishEarly()
+		return
+	}
 	b.interrupt()
 	b.mu.Lock()
 	defer b.mu.Unlock()
