--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -18,7 +18,7 @@
 	answerMargin = 250 * time.Millisecond
 )
 
-// stopSchedule holds the times of a stop, counted from its begin.
+// stopSchedule holds the times of a stop, counted from its start.
 type stopSchedule struct {
 	drainTarget    time.Duration // new requests to the target are refused
 	closeListeners time.Duration // new requests of callers are not taken any more
