--- a/internal/inbound/endless_test.go
+++ b/internal/inbound/endless_test.go
@@ -142,19 +142,21 @@
 	}
 }
 
+// heapBytes returns the size of the heap.
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // Guards against memory that grows with what a target sends without end: 20 such connections at once must not need more
 // than a few megabytes of heap, since a node may have less than 200 MB.
 func TestEndlessHeadersNeedLittleMemory(t *testing.T) {
 	const requests, maxGrowth = 20, 32 << 20
 	target := &rawTarget{start: "HTTP/1.1 200 OK\r\n", repeat: "X-A: " + strings.Repeat("x", 1000) + "\r\n"}
 	node := startNode(t, target.listen(t), func(c *Config) { c.Slots = requests })
-	heap := func() uint64 {
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return stats.HeapAlloc
-	}
 	runtime.GC()
-	before := heap()
+	before := heapBytes()
 	ended := make(chan result)
 	for range requests {
 		go func() {
@@ -167,7 +169,7 @@
 		answer := <-ended
 		assert.NilError(t, answer.err)
 		assert.Equal(t, answer.reason(), failure.TargetConnectionBroke)
-		peak = max(peak, heap())
+		peak = max(peak, heapBytes())
 	}
 	t.Logf("heap before %d, peak %d bytes", before, peak)
 	assert.Assert(t, peak < before+maxGrowth, "the heap grew from %d to %d bytes", before, peak)
@@ -192,13 +194,8 @@
 				c.Slots = requests
 				c.ReadAheadBytes = 128 << 10
 			})
-			heap := func() uint64 {
-				var stats runtime.MemStats
-				runtime.ReadMemStats(&stats)
-				return stats.HeapAlloc
-			}
 			runtime.GC()
-			before := heap()
+			before := heapBytes()
 			var readers sync.WaitGroup
 			var peak atomic.Uint64
 			for i := range requests {
@@ -215,7 +212,7 @@
 					}
 					for buffer := make([]byte, 32<<10); err == nil; {
 						_, err = response.Body.Read(buffer)
-						peak.Store(max(peak.Load(), heap()))
+						peak.Store(max(peak.Load(), heapBytes()))
 					}
 				})
 			}
