--- a/internal/membership/oddrows_test.go
+++ b/internal/membership/invalidrows_test.go
@@ -11,8 +11,8 @@
 	"github.com/acacialock/acacialock/internal/platform"
 )
 
-// oddRows are values that another writer may leave in the table of the members, under the key "odd".
-func oddRows() map[string]string {
+// invalidRows are values that another writer may leave in the table of the members, under the key "odd".
+func invalidRows() map[string]string {
 	row := func(change string) string {
 		text := `{"member":{"ID":"odd@1.1","Service":"shop","Zone":"a","Region":"r","PeerAddr":"10.0.0.9:1","LinkMbps":1,"FullSpeed":3},"target":{"id":"t","born":1,"slots":9}}`
 		field, value, _ := strings.Cut(change, "=")
@@ -48,8 +48,8 @@
 
 // Guards against one row of another writer that ends the node, hides the rows of the others or is used as a member: the nodes
 // of a region would end again and again, or follow a node that does not exist.
-func TestOddRowsNameNoMember(t *testing.T) {
-	for name, value := range oddRows() {
+func TestInvalidRowsAreIgnored(t *testing.T) {
+	for name, value := range invalidRows() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			_, err := DecodeRow("odd", []byte(value))
@@ -75,7 +75,7 @@
 		})
 	}
 	var invalid *RowError
-	_, err := DecodeRow("odd", []byte(oddRows()["port out of range"]))
+	_, err := DecodeRow("odd", []byte(invalidRows()["port out of range"]))
 	assert.Assert(t, errors.As(err, &invalid) && invalid.Field == "member.PeerAddr", "%v", err)
 }
 
