--- a/internal/entry/brokenanswer_test.go
+++ b/internal/entry/brokenanswer_test.go
@@ -46,7 +46,7 @@
 }
 
 // Guards against a caller whose connection is closed without an answer because the connection between the nodes broke when
-// the head of the answer had arrived (LOST; 2 of 20,000 requests on a day of resets on hqbw-mesh-grown).
+// the head of the answer had arrived.
 func TestBrokenAnswerIsAFailure(t *testing.T) {
 	for name, keep := range map[string]int{"after the head": 0, "in the body": 7, "before the last byte": 1999} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -16,6 +16,6 @@
 		assert.Assert(t, s.endCalls >= drainTimeout*5/6, "%v: calls end at %v, before the last sixth", drainTimeout, s.endCalls)
 		assert.Assert(t, s.endCalls-s.closeListeners >= drainTimeout/3, "%v: the last calls have %v", drainTimeout, s.endCalls-s.closeListeners)
 	}
-	// The platforms' usual timeout: the values on which its bounds were measured.
+	// With 6 s nothing is shortened.
 	assert.Equal(t, newStopSchedule(6*time.Second), stopSchedule{1500 * time.Millisecond, 3 * time.Second, 5050 * time.Millisecond, 5300 * time.Millisecond})
 }
