--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -48,6 +48,8 @@
 	List *servicelist.List
 	// Members maps each service that the node needs to its members, sorted by id. It includes draining members.
 	Members map[string][]Member
+	// EvacuatedZones are the availability zones whose targets get no requests, by the operators' order.
+	EvacuatedZones map[string]bool
 }
 
 // ListVersion returns the version of the service list, or 0 if there is none.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -38,6 +38,14 @@
 	// RequestIDHeader is the name of the header whose value identifies a caller's request in logs; empty: requests are
 	// logged without an id.
 	RequestIDHeader string
+	// Allotments enforces the rates of tenants; nil: they are not enforced.
+	Allotments Allotments
+	// ListConfirmed returns the time since which the list in force is not known to be the newest one: the age of the last
+	// proof of that. It must also grow while the machine is suspended. nil: the list counts as confirmed.
+	ListConfirmed func() time.Duration
+	// KeyWithdrawalBound is the time after which a withdrawn API key must not be accepted any more. Requests with a key are
+	// refused while ListConfirmed is not below it; 0: no bound.
+	KeyWithdrawalBound time.Duration
 	// WriteRefusal sets the response headers for a failure in a format of the callers' own and returns the HTTP status;
 	// nil: the failure is sent with wire.Reason, wire.Outcome and a text body.
 	WriteRefusal func(header http.Header, failed *failure.Error) int
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -23,7 +23,11 @@
 	CallerGone          Reason = "caller-gone"
 	NodeUnreachable     Reason = "node-unreachable"
 	DependencyForbidden Reason = "dependency-not-declared"
-	InternalError       Reason = "internal-error" // a defect of this node; see its log
+	InternalError       Reason = "internal-error"     // a defect of this node; see its log
+	UnknownKey          Reason = "unknown-key"        // the route needs an API key, and no tenant holds the one given
+	KeysUnconfirmed     Reason = "keys-unconfirmed"   // the node can't tell whether the API key was withdrawn
+	AllotmentExceeded   Reason = "allotment-exceeded" // the tenant's allotment is used up
+	RegionNotAllowed    Reason = "region-not-allowed" // no target in the regions that the route and the tenant allow
 
 	// Reasons of the target's node.
 	Starting              Reason = "starting"
@@ -46,6 +50,7 @@
 	TargetFailing         Reason = "target-failing" // the target fails most requests; another may succeed
 	TargetBusy            Reason = "target-busy"    // no slot is free, and another region may have one
 	TargetLimited         Reason = "target-limited" // the target's own limit admits no request now; another may have room
+	ZoneEvacuated         Reason = "zone-evacuated" // targets of the availability zone get no requests, by the operators' order
 
 	// Reasons for calls with an Idempotency-Key.
 	BadIdempotencyKey   Reason = "bad-idempotency-key"
@@ -65,6 +70,8 @@
 var statuses = map[Reason]int{
 	UnknownService:        http.StatusNotFound,
 	UnknownRoute:          http.StatusNotFound,
+	UnknownKey:            http.StatusUnauthorized,
+	AllotmentExceeded:     http.StatusTooManyRequests,
 	BodyTooLarge:          http.StatusRequestEntityTooLarge,
 	HeaderTooLarge:        http.StatusRequestHeaderFieldsTooLarge,
 	BadRequest:            http.StatusBadRequest,
--- a/internal/servicelist/rules.go
+++ b/internal/servicelist/rules.go
@@ -36,6 +36,11 @@
 	// MaxAttempts is the maximum number of targets that a request is sent to.
 	MaxAttempts int
 	Split       []Share
+	// Public reports that requests need no API key. It has no effect if the list has no tenants.
+	Public bool
+	// AllowedRegions are the regions whose nodes may receive a request and its body, besides the node that the caller
+	// connected to. Empty: all regions.
+	AllowedRegions []string
 
 	requests atomic.Uint64 // requests that the split distributed so far
 }
--- a/internal/servicelist/types.go
+++ b/internal/servicelist/types.go
@@ -14,6 +14,8 @@
 	// Rules select the service of a request by host and path. If there are none, the host is the name of the service.
 	Rules        RuleSet
 	CallerLimits CallerLimits
+	// Tenants are the callers' organizations, which identify themselves with API keys. If there are none, requests need no key.
+	Tenants TenantSet
 }
 
 // Measuring is the budget of one node for measurement and control traffic.
@@ -36,6 +38,8 @@
 	Idempotent   []Route // requests that may be executed more than once, besides those with a safe method
 	Limits       Limits
 	Retry        Retry
+	// ColdRate is the number of requests per second that a target bears while it warms up; 0: no bound.
+	ColdRate float64
 }
 
 // Route matches requests by method and path prefix. An empty method matches every method.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,9 @@
 	// LinkMbps is the bandwidth of the machine's network link in Mbit/s; 0 if unknown. In each zone, the node with the
 	// highest bandwidth reads the store for the others. PlatformRows only.
 	LinkMbps float64
+	// KeyWithdrawalBound is the time after which an API key that the operators withdrew must not be accepted any more, also
+	// at nodes that can't read the store. PlatformRows only; 0: no bound.
+	KeyWithdrawalBound time.Duration
 
 	DrainTimeout             time.Duration // maximum wait for requests in flight at shutdown; default 30 s
 	TargetConnectTimeout     time.Duration // for connecting to the target; default 1 s
@@ -111,6 +114,7 @@
 	RetryRatio               float64  `toml:"retry_ratio"`
 	RetrySlack               int      `toml:"retry_slack"`
 	LinkMbps                 float64  `toml:"link_mbps"`
+	KeyWithdrawalBound       *string  `toml:"key_withdrawal_bound"`
 	DrainTimeout             *string  `toml:"drain_timeout"`
 	TargetConnectTimeout     *string  `toml:"target_connect_timeout"`
 	TargetHealthInterval     *string  `toml:"target_health_interval"`
@@ -178,6 +182,7 @@
 		return document.ParseDuration(tomlcheck.Key{name}, value, fallback, low, high)
 	}
 	loaded.DrainTimeout = read("drain_timeout", text.DrainTimeout, DefaultDrainTimeout, time.Second, time.Hour)
+	loaded.KeyWithdrawalBound = read("key_withdrawal_bound", text.KeyWithdrawalBound, 0, time.Second, time.Hour)
 	loaded.TargetConnectTimeout = read("target_connect_timeout", text.TargetConnectTimeout, DefaultTargetConnectTimeout, 10*time.Millisecond, time.Minute)
 	loaded.TargetHealthInterval = read("target_health_interval", text.TargetHealthInterval, DefaultTargetHealthInterval, 100*time.Millisecond, time.Minute)
 	loaded.PlatformTryTimeout = read("platform_try_timeout", text.PlatformTryTimeout, DefaultPlatformTryTimeout, 50*time.Millisecond, time.Minute)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,7 @@
 	Overflow      = "Acacialock-Overflow"     // "1" when the attempt may only use a free slot and must not be queued
 	CanOverflow   = "Acacialock-Can-Overflow" // "1" when the sender can offer the request to another region
 	Link          = "Acacialock-Link"         // "1" when the message crosses the link between regions
+	TenantName    = "Acacialock-Tenant-Name"  // name of the tenant whose API key the caller gave; the entry node sets it
 )
 
 // CurrentMember is the header with the id of the member that a node serves now. The node sets it when it refuses an
