State since when the service list is not known to be the newest one

Cause: a withdrawn API key must not be accepted later than a bound after its withdrawal, also at a node that is cut off or suspended; no node could tell the age of what it knows. Change: Directory.ListConfirmed on CLOCK_BOOTTIME, proved by the start of a read or by a reader's frame, whose time is bounded by readings of the reader's clock; the list is polled with a quarter of key_withdrawal_bound. Nothing changes without that setting.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -58,7 +58,7 @@
 	Parse      func(value []byte) (*servicelist.List, error)
 }
 
-// Config configures a Directory. All fields except Peers are required.
+// Config configures a Directory. All fields except Peers and MaxListAge are required.
 type Config struct {
 	// Name is the node's name, the key of its row in the store.
 	Name string
@@ -70,6 +70,9 @@
 	// Peers sends requests to other nodes. If nil, this node always reads the store itself.
 	Peers   *http.Client
 	Metrics *telemetry.Registry
+	// MaxListAge is the age that ListConfirmed must not reach while the store answers. Frames state the age of the list then,
+	// and the list is read at least four times in it. 0: no bound.
+	MaxListAge time.Duration
 }
 
 // Directory holds the node's control state: the known members and the service list in force. A single goroutine, started
@@ -134,6 +137,7 @@
 
 		avoidUntil: map[string]time.Time{},
 	}
+	d.relay.statesAge = config.MaxListAge > 0
 	initial := rankReaders(nil, config.Self)
 	d.ranking.Store(&initial)
 	d.members = &followedTable{
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -132,9 +132,9 @@
 			wait = 0
 		}
 		if table.tracksStore {
-			wait = d.relay.beginListRead(wait)
+			wait = d.relay.beginListRead(d.limitListWait(wait))
 		}
-		after := table.version.Load()
+		after, startedAt := table.version.Load(), timing.SinceBoot()
 		rows, version, interrupted, err := d.readOnce(ctx, table, full, after, wait)
 		var historyLost *platform.HistoryLostError
 		switch {
@@ -165,6 +165,9 @@
 		}
 		retry.reset()
 		table.update(ctx, rows, full, version)
+		if table.tracksStore && ctx.Err() == nil {
+			d.relay.proof.renew(startedAt)
+		}
 		if table.tracksStore && !d.stopping.Load() {
 			d.relay.setSource(sourceStore)
 		}
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 const (
@@ -67,8 +68,9 @@
 
 // frame is one message from a reader to a follower.
 type frame struct {
-	Members tableFrame `json:"members"`
-	List    tableFrame `json:"list"`
+	Members tableFrame  `json:"members"`
+	List    tableFrame  `json:"list"`
+	Proof   *proofFrame `json:"proof,omitempty"` // nil: the reader can't tell the age of its list, or need not
 }
 
 // tableFrame contains the rows that update a follower's copy of a table to Version.
@@ -100,6 +102,9 @@
 	readDeadline time.Time // time by which the read of the list in progress, or the reader's next frame, must arrive
 	followers    int
 	changed      chan struct{} // closed and replaced at each change
+
+	proof     listProof
+	statesAge bool // frames state the age of the list
 }
 
 // relayTable is a copy of a table that retains tombstones, from which the changes since a version can be determined.
@@ -252,7 +257,10 @@
 	if r.source < scope.requiredSource() || !time.Now().Before(r.readDeadline) {
 		return frame{}, nil, time.Time{}, false
 	}
-	next = frame{Members: r.members.frameSince(membersVersion), List: r.list.frameSince(listVersion)}
+	if r.statesAge {
+		next.Proof = r.proof.newProofFrame(timing.SinceBoot())
+	}
+	next.Members, next.List = r.members.frameSince(membersVersion), r.list.frameSince(listVersion)
 	return next, r.changed, r.readDeadline, true
 }
 
@@ -270,7 +278,12 @@
 
 // ServeHTTP streams frames until this node no longer has the source that the follower needs or the follower disconnects. It
 // responds with 400 if the version headers are missing or invalid, and with 409 if the follower has to choose another reader.
+// A HEAD request reads the clock only.
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	serveClock(w)
+	if request.Method == http.MethodHead {
+		return
+	}
 	membersVersion, membersErr := strconv.ParseUint(request.Header.Get(headerMembersVersion), 10, 64)
 	listVersion, listErr := strconv.ParseUint(request.Header.Get(headerListVersion), 10, 64)
 	if membersErr != nil || listErr != nil {
--- a/internal/membership/relay_test.go
+++ b/internal/membership/relay_test.go
@@ -117,6 +117,7 @@
 		client := &http.Client{Transport: &http.Transport{}}
 		node.directory = New(Config{
 			Name: name, Self: self, Store: node.feed, View: node.view, Metrics: telemetry.New(), Peers: client,
+			MaxListAge: 5 * time.Second,
 			List: ListSource{Table: "op", Key: "config", Parse: func(value []byte) (*servicelist.List, error) {
 				number, _, _ := strings.Cut(string(value), " ")
 				version, err := strconv.ParseUint(number, 10, 64)
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,6 +70,7 @@
 	frameLimit   *io.LimitedReader
 	cancel       context.CancelFunc
 	firstFrame   frame
+	clock        atomic.Pointer[readerClock] // nil: the reader does not tell its clock
 }
 
 // connect opens a stream from a reader and reads its first frame.
@@ -88,12 +90,14 @@
 	request.Header.Set(headerFollowScope, string(reader.scope))
 	request.Header.Set(headerMembersVersion, strconv.FormatUint(d.members.version.Load(), 10))
 	request.Header.Set(headerListVersion, strconv.FormatUint(d.list.version.Load(), 10))
+	sentAt := timing.SinceBoot()
 	response, err := d.config.Peers.Do(request)
 	if err != nil {
 		stream.close()
 		return nil, eris.Wrap(err, "send follow request")
 	}
 	stream.body = response.Body
+	stream.recordClock(response.Header, sentAt)
 	if response.StatusCode != http.StatusOK {
 		stream.close()
 		return nil, &readerStatusError{response.StatusCode}
@@ -305,6 +309,9 @@
 		if err := d.applyFrame(ctx, &next); err != nil {
 			return err
 		}
+		if clock := stream.clock.Load(); clock != nil && next.Proof != nil && ctx.Err() == nil {
+			d.relay.proof.renew(clock.proven(next.Proof))
+		}
 		next = frame{}
 		if err := stream.readFrame(&next); err != nil {
 			return err
@@ -322,6 +329,7 @@
 // one and ends the stream. It gives up when recheckCtx ends; ctx bounds the new stream.
 func (d *Directory) awaitBetterReader(ctx, recheckCtx context.Context, stream *readerStream) recheckResult {
 	for timing.Sleep(recheckCtx, recheckInterval+rand.N(recheckInterval/2)) == nil {
+		d.refreshClock(recheckCtx, stream)
 		best := d.ranking.Load().preferred(d.selfID())
 		switch {
 		case best.scope == stream.scope && best.member.PeerAddr == stream.member.PeerAddr:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,8 @@
 		View:    n.view,
 		Peers:   n.peers.Pooled,
 		Metrics: n.metrics,
+
+		MaxListAge: set.KeyWithdrawalBound,
 	})
 	n.transport = forward.New(forward.Config{Metrics: n.metrics})
 	n.policies = entry.NewPolicies(entry.PoliciesConfig{
@@ -121,6 +123,9 @@
 		ReadAheadBytes:  readAheadBytes,
 		WriteRefusal:    adapter.WriteRefusal,
 		RequestIDHeader: adapter.RequestIDHeader(),
+
+		ListConfirmed:      n.directory.ListConfirmed,
+		KeyWithdrawalBound: set.KeyWithdrawalBound,
 	})
 	n.target = &localTarget{node: n}
 	servers, err := n.listen()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"time"
 
@@ -42,7 +43,13 @@
 	if state.StoreLost {
 		storeLost = 1
 	}
+	unconfirmed := int64(-1)
+	if age := n.directory.ListConfirmed(); age < math.MaxInt64 {
+		unconfirmed = age.Milliseconds()
+	}
 	for name, value := range map[string]int64{
+		"list.unconfirmed.ms": unconfirmed,
+
 		"target.in-flight": int64(state.InFlight),
 		"target.queued":    int64(state.Queued),
 		"members":          int64(state.Members),
--- a/internal/timing/sleep.go
+++ b/internal/timing/sleep.go
@@ -1,4 +1,4 @@
-// Package timing provides a sleep that a context can interrupt.
+// Package timing provides a sleep that a context can interrupt and a clock that also advances while the machine is suspended.
 package timing
 
 import (
