--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -218,6 +218,22 @@
 	}
 }
 
+// RefuseQueued refuses all queued requests with what refusal returns for each; nil lets it wait on.
+func (l *Limiter) RefuseQueued(refusal func() *failure.Error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 0; i < len(l.queue.waiters); {
+		refused := refusal()
+		if refused == nil {
+			i++
+			continue
+		}
+		w := l.queue.remove(i)
+		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
+		w.result <- result{refusal: refused}
+	}
+}
+
 // checkAdmission returns the reason why a request can be neither started nor queued, or nil.
 func (l *Limiter) checkAdmission(now time.Time, w *waiter) *failure.Error {
 	remaining := w.Deadline.Sub(now)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -224,7 +224,7 @@
 		s.draining = true
 	case failure.WrongIncarnation, failure.WrongService, failure.WrongTarget:
 		s.failedUntil = now.Add(removedCooldown)
-	case failure.TargetUnreachable, failure.ConnectionLimit:
+	case failure.TargetUnreachable, failure.ConnectionLimit, failure.ZoneEvacuated:
 		s.failedUntil = now.Add(failureCooldown)
 	case failure.TargetSlow:
 		s.refusedUntil = now.Add(slowCooldown)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/acacialock/acacialock/internal/servicelist"
@@ -39,6 +40,10 @@
 	// states no limit. LimitAgeMS is the time in milliseconds since it last did.
 	Limit      float64 `json:"limit,omitempty"`
 	LimitAgeMS int64   `json:"limit_age_ms,omitempty"`
+	// ColdMS is the time in milliseconds for which the local target still warms up, as far as the node knows; 0: it does not.
+	ColdMS int64 `json:"cold_ms,omitempty"`
+	// EvacuatedZones are the zones whose targets get no requests, by the operators' order, sorted.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // Snapshot is the state of the system as known to a node. It is immutable once published.
@@ -68,6 +73,20 @@
 	return s.List.Services[name]
 }
 
+// Candidates returns the members of a service as a balancer should see them: those in an evacuated zone are marked as
+// draining. The result must not be modified.
+func (s *Snapshot) Candidates(service string) []Member {
+	members := s.Members[service]
+	if !slices.ContainsFunc(members, func(m Member) bool { return s.EvacuatedZones[m.Zone] }) {
+		return members
+	}
+	members = slices.Clone(members)
+	for i := range members {
+		members[i].Draining = members[i].Draining || s.EvacuatedZones[members[i].Zone]
+	}
+	return members
+}
+
 // View holds the latest snapshot. Use NewView to create one: the zero value holds no snapshot. It is safe for
 // concurrent use.
 type View struct{ current atomic.Pointer[Snapshot] }
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -75,7 +75,7 @@
 		policy.retry.SetPercent(service.Retry.BudgetPercent)
 		policy.retry.SetBurst(retryBurst(service, snapshot))
 		policy.hedge.SetPercent(service.Retry.HedgePercent)
-		policy.balancer.Update(snapshot.Members[name])
+		policy.balancer.Update(snapshot.Candidates(name))
 	}
 	p.config.Transport.RetainOnly(peerAddrs(snapshot))
 }
@@ -130,7 +130,7 @@
 		StayInRegion:   p.config.StayInRegion,
 		ZoneCost:       p.config.ZoneCost,
 	})
-	pool.Update(p.applied.Load().Members[service.Name])
+	pool.Update(p.applied.Load().Candidates(service.Name))
 	retry := budget.NewRetryBudget(service.Retry.BudgetPercent, nil)
 	retry.SetBurst(retryBurst(service, p.applied.Load()))
 	return &Policy{
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -241,7 +241,7 @@
 // once. maxSends bounds them.
 func reachedNoTarget(failed *failure.Error) bool {
 	switch failed.Reason {
-	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget, failure.TargetLimited:
+	case failure.ConnectFailed, failure.ConnectionSilent, failure.NoLocalTarget, failure.TargetLimited, failure.ZoneEvacuated:
 		return true
 	case failure.Draining, failure.Starting, failure.WrongIncarnation, failure.WrongService, failure.WrongTarget, failure.TargetUnreachable:
 		return failed.Outcome == failure.NotRun
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -78,6 +78,9 @@
 func (e *exchange) admit() *failure.Error {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.forwarded.deadline)
 	defer cancel()
+	if refused := e.handler.checkEvacuation(); refused != nil {
+		return refused
+	}
 	for {
 		pass, refused := e.handler.guard.Admit(ctx, e.forwarded.deadline, e.digest, e.body)
 		if refused != nil {
@@ -98,6 +101,9 @@
 	if refused := e.checkKeyAuthority(); refused != nil {
 		return refused
 	}
+	if refused := e.handler.checkEvacuation(); refused != nil {
+		return refused // the order came while the request waited
+	}
 	return e.attempt.Dispatch()
 }
 
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -200,6 +200,9 @@
 func (h *Handler) applyLimits() {
 	snapshot := h.config.View.Load()
 	if h.lastSnapshot.Swap(snapshot) != snapshot {
+		if h.zoneEvacuated() {
+			h.limiter.RefuseQueued(h.checkEvacuation)
+		}
 		h.limiter.SetAgreedLimit(admission.MajorityLimit(h.memberFullSpeedConcurrencies(snapshot)))
 	}
 	service := snapshot.Service(h.config.Self.Service)
@@ -234,6 +237,19 @@
 	old.transport.CloseIdleConnections()
 }
 
+// zoneEvacuated reports whether the operators have ordered that targets in this node's zone get no requests.
+func (h *Handler) zoneEvacuated() bool {
+	return h.config.View.Load().EvacuatedZones[h.config.Self.Zone]
+}
+
+// checkEvacuation returns the refusal of a request that has not started while this node's zone is evacuated, or nil.
+func (h *Handler) checkEvacuation() *failure.Error {
+	if !h.zoneEvacuated() {
+		return nil
+	}
+	return notRun(failure.ZoneEvacuated, "zone %s is evacuated", h.config.Self.Zone)
+}
+
 // refuse counts, logs and sends a failure to the caller.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, failed *failure.Error) {
 	h.config.Metrics.CountRefusal(role, failed.Reason)
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -55,7 +55,10 @@
 // ListSource is the location of the service list in the store, and its parser.
 type ListSource struct {
 	Table, Key string
-	Parse      func(value []byte) (*servicelist.List, error)
+	// EvacuationPrefix is the start of the keys of rows in Table that order the evacuation of an availability zone, whose name
+	// follows it. A zone is evacuated while its row exists. Empty: there are no such rows.
+	EvacuationPrefix string
+	Parse            func(value []byte) (*servicelist.List, error)
 }
 
 // Config configures a Directory. All fields except Peers and MaxListAge are required.
@@ -93,6 +96,7 @@
 	rows            map[string]memberRow
 	currentList     *servicelist.List // in force; nil if there is none
 	currentListText []byte            // unparsed value of currentList
+	evacuations     evacuations
 
 	ownRowVersion   atomic.Uint64
 	memberCount     atomic.Int64              // number of known rows
@@ -134,6 +138,7 @@
 		preferenceChanged: make(chan struct{}, 1),
 		listInstalled:     make(chan struct{}),
 		rows:              map[string]memberRow{},
+		evacuations:       evacuations{},
 
 		avoidUntil: map[string]time.Time{},
 	}
@@ -300,7 +305,10 @@
 	}
 }
 
-func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, _ bool) {
+func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, full bool) {
+	if full || slices.ContainsFunc(rows, d.isEvacuation) {
+		d.apply(ctx, func() { d.applyEvacuations(rows, full) })
+	}
 	if !isClosed(d.listLoaded) {
 		close(d.listLoaded)
 	}
@@ -373,7 +381,9 @@
 
 // publish publishes a new snapshot of members and service list for the request path.
 func (d *Directory) publish() {
-	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.currentList, Members: map[string][]cluster.Member{}}
+	snapshot := &cluster.Snapshot{
+		Self: d.config.Self, List: d.currentList, Members: map[string][]cluster.Member{}, EvacuatedZones: d.evacuations.zones(),
+	}
 	add := func(row Row) {
 		if row.Departed || row.Member.ID == "" {
 			return
--- a/internal/membership/relay_test.go
+++ b/internal/membership/relay_test.go
@@ -118,7 +118,7 @@
 		node.directory = New(Config{
 			Name: name, Self: self, Store: node.feed, View: node.view, Metrics: telemetry.New(), Peers: client,
 			MaxListAge: 5 * time.Second,
-			List: ListSource{Table: "op", Key: "config", Parse: func(value []byte) (*servicelist.List, error) {
+			List: ListSource{Table: "op", Key: "config", EvacuationPrefix: "evacuate/", Parse: func(value []byte) (*servicelist.List, error) {
 				number, _, _ := strings.Cut(string(value), " ")
 				version, err := strconv.ParseUint(number, 10, 64)
 				return &servicelist.List{Version: version}, err
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -26,6 +28,7 @@
 	if reader, ok := n.directory.Reader(); ok {
 		state.Reader = reader.ID
 	}
+	state.EvacuatedZones = slices.Sorted(maps.Keys(snapshot.EvacuatedZones))
 	if current := n.target.current.Load(); current != nil {
 		load := current.handler.LoadSample()
 		state.InFlight, state.Queued = load.InFlight, load.Queued
