Bound the requests to a target that warms up by the rate that it bears

Cause: a cold target crashes above a certain rate; nothing bounded what it got, and targets that return together got the load of a zone at once. Change: a token bucket at the node beside the target while check-ins or the health path state a warm-up or it may have been started again; health reads while a warm target gets more than a cold one bears; entry nodes prefer warm targets; what waits for an earlier boot is refused. Nothing changes without Service.ColdRate.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -52,6 +52,7 @@
 
 	breaker         breaker
 	rate            rateLimit
+	cold            coldLimit
 	grantScheduled  bool      // a timer for the next request that rate admits runs
 	heardTarget     time.Time // when the last report of the target itself was applied
 	pace            paceTracker
@@ -77,7 +78,7 @@
 
 // New returns a limiter with the given limits. A Queue of 0 disables queueing.
 func New(limits Limits) *Limiter {
-	return &Limiter{limits: withDefaults(limits)}
+	return &Limiter{limits: withDefaults(limits), cold: coldLimit{assumed: true}}
 }
 
 func withDefaults(limits Limits) Limits {
@@ -281,7 +282,7 @@
 // canStart reports whether the number of requests in flight and the limit that the target names allow another one to start
 // now.
 func (l *Limiter) canStart(exclusive bool) bool {
-	if l.rate.active() && l.limitWait(0, time.Now()) > 0 {
+	if now := time.Now(); l.limited(now) && l.limitWait(0, now) > 0 {
 		return false
 	}
 	if exclusive {
@@ -323,6 +324,8 @@
 func (l *Limiter) grantSlot(w *waiter, now time.Time) *Slot {
 	l.inFlight++
 	l.rate.take(w.Kind)
+	l.cold.take(now)
+	l.refreshWarmUp(now)
 	l.exclusive = w.Exclusive
 	return &Slot{limiter: l, exclusive: w.Exclusive, kind: w.Kind, load: l.inFlight, started: now, slow: l.pace.isSlow(now)}
 }
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -186,12 +186,17 @@
 func (l *Limiter) CountUnplannedSend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	if l.rate.active() {
-		l.rate.refill(time.Now())
+		l.rate.refill(now)
 		l.rate.tokens--
 	}
+	l.cold.take(now)
 }
 
+// limited reports whether the rate of the requests that start is bounded now, by the target's own limit or because it is cold.
+func (l *Limiter) limited(now time.Time) bool { return l.rate.active() || l.cold.active(now) }
+
 // delayHealthReads sets the time of the next read of the target's health path under a limit; see healthReadsPerRequest. Until
 // then a fast reading holds, and a slow one for slowReadingLifetime. The mutex is held.
 func (l *Limiter) delayHealthReads(now time.Time) {
@@ -202,11 +207,11 @@
 	}
 }
 
-// limitWait returns the time until the limit admits a request that ranks behind the given number of queued ones. The mutex
+// limitWait returns the time until the limits admit a request that ranks behind the given number of queued ones. The mutex
 // is held.
 func (l *Limiter) limitWait(ahead int, now time.Time) time.Duration {
 	l.rate.refill(now)
-	return l.rate.wait(ahead, now)
+	return max(l.rate.wait(ahead, now), l.cold.wait(ahead, now))
 }
 
 // limitDelays reports whether the limit delays the request by more than a way to another region takes. The mutex is held.
@@ -214,9 +219,17 @@
 	return l.limitWait(l.queue.countAhead(w, now), now) >= overflowTime
 }
 
+// limitRate returns the lowest of the limits in force, in requests per second.
+func (l *Limiter) limitRate() float64 {
+	if !l.cold.active(time.Now()) || l.rate.active() && l.rate.rate < l.cold.rate {
+		return l.rate.rate
+	}
+	return l.cold.rate
+}
+
 // limitRefusal returns the refusal of a request that the limit does not admit in time, or now.
 func (l *Limiter) limitRefusal(wait time.Duration) *failure.Error {
-	refusal := failure.New(failure.TargetLimited, failure.NotRun, "the target accepts %.3g requests/s and %d wait", l.rate.rate, len(l.queue.waiters))
+	refusal := failure.New(failure.TargetLimited, failure.NotRun, "the target accepts %.3g requests/s and %d wait", l.limitRate(), len(l.queue.waiters))
 	refusal.RetryAfter = wait
 	return refusal
 }
@@ -225,7 +238,7 @@
 // its soft deadline or, if that can't be met in any case, before its deadline and behind no other. It answers more requests
 // than the limit admits: late ones would wait until others take their place, and be refused then. The mutex is held.
 func (l *Limiter) limitAdmitsInTime(w *waiter, ahead int, now time.Time) bool {
-	if !l.rate.active() || w.Exclusive {
+	if !l.limited(now) || w.Exclusive {
 		return true
 	}
 	end := now.Add(l.limitWait(ahead, now) + w.serviceTime)
@@ -241,7 +254,7 @@
 // refuseUnreachable refuses the queued requests that the limit does not admit in time any more, because the limit is lower
 // now or requests of higher rank have arrived. The mutex is held.
 func (l *Limiter) refuseUnreachable(now time.Time) {
-	if !l.rate.active() {
+	if !l.limited(now) {
 		return
 	}
 	for i := 0; i < len(l.queue.waiters); {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -100,6 +100,8 @@
 	Reason failure.Reason // cause of a refusal or failure
 	// LimitNamed is true if the member's target names a limit for the requests per second that it accepts.
 	LimitNamed bool
+	// ColdFor is the time for which the member's target still warms up; 0: it is warm, or that is not known.
+	ColdFor time.Duration
 	// RetryAfter is the time after which the member's node expects to admit a request; 0: not known.
 	RetryAfter time.Duration
 	// CurrentID is the id of the member's node since its restart, if the refusal carries it. Later picks use it until
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -34,6 +34,9 @@
 	// refusalCost is the cost of a refusal in service times. It makes a full target the last choice even when the
 	// others look slow; without it twice as many calls failed under short overload.
 	refusalCost = 10.0
+	// coldSlowdown is the factor by which a target that warms up takes longer. It is stated, as the dead zone hides it: warm
+	// targets with a free slot come first, and a cold one before a warm one with a queue of its own length.
+	coldSlowdown = 2.0
 	// defaultServiceTime is used, in seconds, until a sample is known.
 	defaultServiceTime = 0.025
 )
@@ -129,6 +132,9 @@
 			serviceTime += p.sampleWeight(state, now, serviceDecayTime) * (sampled - serviceTime)
 		}
 	}
+	if now.Before(state.coldUntil) {
+		serviceTime = max(serviceTime, coldSlowdown*p.fleet.medianServiceTime)
+	}
 	return serviceTime * p.overdueFactor(state, now)
 }
 
--- a/internal/balance/memberstate.go
+++ b/internal/balance/memberstate.go
@@ -27,6 +27,7 @@
 	limitedUntil time.Time
 	// limitNamedUntil is the time until which the member's target is assumed to name a limit.
 	limitNamedUntil time.Time
+	coldUntil       time.Time // time until which the target is assumed to warm up
 	// failedUntil is the time until which the member is avoided after a failed attempt, or after a refusal because its
 	// target can't be connected to or the member no longer exists.
 	failedUntil time.Time
--- a/internal/balance/overflow.go
+++ b/internal/balance/overflow.go
@@ -93,9 +93,9 @@
 	return slices.ContainsFunc(p.states, func(candidate *memberState) bool { return p.takesOverflow(candidate, now) })
 }
 
-// takesOverflow reports whether a member is in another region and seems able to serve. A target that names a limit has
-// little room, and none is left by the requests of its own region.
+// takesOverflow reports whether a member is in another region and seems able to serve. A target that names a limit or
+// warms up has little room, and none is left by the requests of its own region.
 func (p *Pool) takesOverflow(candidate *memberState, now time.Time) bool {
 	return candidate.distance == otherRegion && !candidate.isDraining() && !candidate.reachability.lost &&
-		!now.Before(candidate.limitNamedUntil) && p.isHealthy(candidate, now)
+		!now.Before(candidate.limitNamedUntil) && !now.Before(candidate.coldUntil) && p.isHealthy(candidate, now)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -165,6 +165,11 @@
 	if result.LimitNamed {
 		state.limitNamedUntil = now.Add(limitMemory)
 	}
+	if result.ColdFor > 0 {
+		state.coldUntil = now.Add(min(result.ColdFor, limitMemory))
+	} else if result.Class == OK {
+		state.coldUntil = time.Time{}
+	}
 	if state.distance == otherRegion {
 		p.overflow.recordResult(result, now)
 	}
@@ -205,7 +210,7 @@
 	slowCooldown = 50 * time.Millisecond
 	// failureCooldown covers a reconnect and a few further attempts before there are enough results for an ejection.
 	failureCooldown = 200 * time.Millisecond
-	// limitMemory is the time for which a member is known to name a limit after its last response. Members of another region
+	// limitMemory is the time for which a member is known to name a limit or to be cold after its last response. Members of another region
 	// are tried once in this time, over a link that is billed.
 	limitMemory = 2 * time.Second
 	// maxLimitedTime is the longest time for which a refusal by a target's limit is remembered: the limit may end earlier.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -57,9 +57,11 @@
 	sample    *wire.LoadSample
 	// limitNamed is true if the target names a limit for the requests per second that it accepts.
 	limitNamed bool
-	latency    time.Duration // to the first byte
-	overflow   bool          // the attempt was offered to another region
-	pinned     bool          // the node was told that the call has no other target to move to
+	// coldFor is the time for which the target still warms up; 0: it is warm, or that is not known.
+	coldFor  time.Duration
+	latency  time.Duration // to the first byte
+	overflow bool          // the attempt was offered to another region
+	pinned   bool          // the node was told that the call has no other target to move to
 	// allLimited is true if no member that the call could be sent to accepted a request, by the limits of their targets.
 	allLimited bool
 }
@@ -236,10 +238,11 @@
 	}
 	state := a.handler.states.record(a.member.PeerAddr, memberID, response.Header.Get(wire.TargetStatus), reason == "", time.Now())
 	res.limitNamed = state.Limit > 0
+	res.coldFor = coldFor(response.Header)
 	if reason == "" {
 		if err := a.readAhead(ctx, response); err != nil {
 			broken := a.handleBrokenAnswer(ctx, response, err)
-			broken.sample, broken.limitNamed = res.sample, res.limitNamed
+			broken.sample, broken.limitNamed, broken.coldFor = res.sample, res.limitNamed, res.coldFor
 			return broken
 		}
 		response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: a.cancel}
@@ -250,7 +253,7 @@
 	a.cancel()
 	res.response = nil
 	res.failed = failure.New(failure.Reason(reason), outcome, "refused by node %s", a.member.ID)
-	if res.failed.Reason == failure.TargetLimited {
+	if res.failed.Reason == failure.TargetLimited && state.Limit > 0 {
 		res.failed.Detail += fmt.Sprintf(", whose target accepts %.3g requests/s", state.Limit)
 	}
 	res.failed.RetryAfter = retryAfter(response.Header)
@@ -260,6 +263,18 @@
 	return res
 }
 
+// maxColdTime is the longest warm-up of a target that is believed.
+const maxColdTime = time.Hour
+
+// coldFor returns the time for which the target still warms up; 0: the header is absent or invalid.
+func coldFor(header http.Header) time.Duration {
+	ms, err := strconv.ParseUint(header.Get(wire.TargetCold), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxColdTime)
+}
+
 // retryAfter returns the time after which the node expects a retry to succeed; 0: the header is absent or invalid.
 func retryAfter(header http.Header) time.Duration {
 	ms, err := strconv.ParseUint(header.Get(wire.RetryAfterMS), 10, 31)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -174,7 +174,7 @@
 	if res.response != nil {
 		h.config.Metrics.ObserveDuration("latency.entry."+c.service.Name+".us", res.latency)
 	}
-	report := balance.Result{Sample: res.sample, Latency: res.latency, CurrentID: res.currentID, LimitNamed: res.limitNamed}
+	report := balance.Result{Sample: res.sample, Latency: res.latency, CurrentID: res.currentID, LimitNamed: res.limitNamed, ColdFor: res.coldFor}
 	if res.failed != nil {
 		h.logAttempt(c, pick, send, res.failed)
 		report.Class, report.Reason, report.RetryAfter = classify(res.failed), res.failed.Reason, res.failed.RetryAfter
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -20,7 +20,7 @@
 // internalHeaders are used between nodes only and removed from requests and responses of callers.
 var internalHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
-	wire.RosterVersion, wire.NotAfter, wire.Rank, wire.Stay, wire.Overflow, wire.CanOverflow, wire.TargetStatus,
+	wire.RosterVersion, wire.NotAfter, wire.Rank, wire.Stay, wire.Overflow, wire.CanOverflow, wire.TargetStatus, wire.TargetCold,
 }
 
 // stream copies a node's response to the caller. When the response is truncated it aborts the caller's connection, so
--- a/internal/inbound/failing.go
+++ b/internal/inbound/failing.go
@@ -22,6 +22,7 @@
 	switch failed.Reason {
 	case failure.TargetConnectionBroke, failure.TargetUnreachable:
 		h.recordResult(true)
+		h.assumeRestarted("request")
 	}
 }
 
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -65,8 +65,10 @@
 	OnOtherReport func(report TargetReport)
 	// OnWrongTarget is called when a response came from a target other than the expected one; nil: no call.
 	OnWrongTarget func()
-	// RemainingWarmUp is the remaining duration of the warm-up after the start of the target.
+	// RemainingWarmUp is the remaining duration of the warm-up after the start of the target. WarmUpKnown is false if that is
+	// not known; the target then counts as cold until it states the duration.
 	RemainingWarmUp time.Duration
+	WarmUpKnown     bool
 	// ReadAheadBytes is the size in bytes up to which a response body is buffered before its header is forwarded, so that
 	// a truncated response becomes a failure that can be retried; 0: responses are streamed.
 	ReadAheadBytes int
@@ -127,6 +129,9 @@
 	h.healthTransport = NewHealthTransport()
 	h.limiter.SetPaceReader(h.queryPace)
 	h.limiter.SetWarmUp(config.RemainingWarmUp)
+	if config.WarmUpKnown {
+		h.limiter.AnnounceWarmUp(config.RemainingWarmUp)
+	}
 	h.target.Store(newTargetTransport(config.TargetAddr, h.guard.Dial, DefaultConnections))
 	return h
 }
@@ -229,6 +234,7 @@
 	}
 	slots = min(slots, requestConnections(connections))
 	h.limiter.SetLimits(admission.Limits{Slots: slots, Queue: limits.Queue})
+	h.limiter.SetColdRate(service.ColdRate)
 	old := h.target.Load()
 	if old.connections == connections {
 		return
@@ -280,6 +286,9 @@
 	if state := h.targetState(); !state.IsZero() {
 		header.Set(wire.TargetStatus, state.String())
 	}
+	if cold := h.limiter.ColdFor(); cold > 0 {
+		header.Set(wire.TargetCold, strconv.FormatInt(cold.Milliseconds(), 10))
+	}
 	if h.config.AllowLoadSample == nil || h.config.AllowLoadSample(r.Header.Get(wire.Link) != "") {
 		header.Set(wire.Load, h.limiter.LoadSample().String())
 	}
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -19,7 +19,7 @@
 // internalResponseHeaders are set by nodes only and are removed from the target's responses: a target could use them to
 // claim that a request was not run.
 var internalResponseHeaders = []string{wire.RetryAfterMS, wire.Load, wire.Reason, wire.Outcome,
-	wire.TargetDraining, wire.CurrentMember, wire.TargetStatus}
+	wire.TargetDraining, wire.CurrentMember, wire.TargetStatus, wire.TargetCold}
 
 // targetHeader returns the header of the request to the target; a zero notAfter is omitted.
 func targetHeader(received http.Header, deadline, notAfter time.Time) http.Header {
--- a/internal/inbound/pace.go
+++ b/internal/inbound/pace.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		h.config.Metrics.Counter("pace.unread").Inc(1)
 		logPaceError(h.config.Self.ID, err) // the limiter admits requests without a reading
+		if ctx.Err() == nil {
+			h.assumeRestarted(fromHealth) // the target closed or refused the connection
+		}
 		return 0, false
 	}
 	report := h.recordReport(response.Header, fromHealth)
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -20,15 +20,19 @@
 	LimitNamed bool    // the response names a limit
 	Limit      float64 // requests per second that the target accepts from all nodes together; valid if LimitNamed
 	Leaving    bool    // the target is shutting down
-	// LimitErr and LeavingErr are set if the target states something that can't be read. Such a limit counts as named: it
-	// neither changes nor ends the one in force.
-	LimitErr, LeavingErr error
+	// WarmUpStated is true if the response states the remaining warm-up, WarmUp; 0: the target is warm.
+	WarmUpStated bool
+	WarmUp       time.Duration
+	// LimitErr, LeavingErr and WarmUpErr are set if the target states something that can't be read. Such a limit counts as
+	// named: it neither changes nor ends the one in force.
+	LimitErr, LeavingErr, WarmUpErr error
 }
 
 // Sources of reports, as logged.
 const (
 	fromResponse = "response" // a response to a request
 	fromHealth   = "health"   // a response of the health path
+	fromCheckIn  = "check-in" // an announcement of the target
 	fromNode     = "node"     // another node, which heard it before this process did
 )
 
@@ -85,6 +89,7 @@
 	if report.LimitErr == nil && (report.LimitNamed || source != fromHealth) {
 		h.limiter.ReportLimit(report.Limit, report.LimitNamed)
 	}
+	h.applyWarmUp(&report, source)
 	switch {
 	case report.Leaving && h.config.OnLeaving != nil:
 		h.leavingHeardAt.Store(time.Now().UnixNano())
@@ -148,7 +153,7 @@
 	log, now := &h.reports, time.Now()
 	log.mu.Lock()
 	defer log.mu.Unlock()
-	if err := errors.Join(report.LimitErr, report.LeavingErr); err != nil {
+	if err := errors.Join(report.LimitErr, report.LeavingErr, report.WarmUpErr); err != nil {
 		h.config.Metrics.Counter("target.report-invalid").Inc(1)
 		if !now.Before(log.nextInvalid) {
 			log.nextInvalid = now.Add(reportLogInterval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,7 @@
 		OnOtherReport:          n.target.applyOtherReport,
 		OnWrongTarget:          func() { n.target.dropResumedBoot(checkIn.TargetID) },
 		RemainingWarmUp:        checkIn.RemainingWarmUp,
+		WarmUpKnown:            checkIn.Sequence > 0,
 		ReadAheadBytes:         readAheadBytes,
 	})
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -32,6 +32,7 @@
 	if current := n.target.current.Load(); current != nil {
 		load := current.handler.LoadSample()
 		state.InFlight, state.Queued = load.InFlight, load.Queued
+		state.ColdMS = current.handler.ColdFor().Milliseconds()
 		if limit := current.handler.RateLimit(); limit.Rate > 0 {
 			state.Limit, state.LimitAgeMS = limit.Rate, time.Since(limit.HeardAt).Milliseconds()
 		}
@@ -63,6 +64,7 @@
 		// Gauges are integers, and limits may be below one request per second.
 		"target.limit.milli":  int64(1000 * state.Limit),
 		"target.limit.age.ms": state.LimitAgeMS,
+		"target.cold.ms":      state.ColdMS,
 	} {
 		n.metrics.Gauge(name).Update(value)
 	}
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -183,6 +183,9 @@
 	changed := t.state.applyCheckIn(checkIn, time.Now())
 	if current := t.current.Load(); current != nil && changed != changeNewBoot && checkIn.TargetID == t.state.targetID {
 		current.resumed = false
+		if t.state.boot() == checkIn.boot() && t.state.sequence == checkIn.Sequence {
+			current.handler.ApplyAnnouncement(checkIn.RemainingWarmUp)
+		}
 	}
 	notServed := t.current.Load() == nil && !t.state.departed && t.state.boot() == checkIn.boot()
 	switch {
@@ -218,7 +221,7 @@
 	go next.handler.FetchSuspects(context.Background()) // queries other nodes for a short time; see quarantine.NewPeers
 	old := t.current.Swap(next)
 	if old != nil {
-		old.handler.BeginDrain()
+		old.handler.EndBoot()
 		if older := t.previous.Swap(old); older != nil {
 			older.handler.Close()
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -55,6 +55,10 @@
 // target's node.
 const TargetDraining = "Acacialock-Target-Draining"
 
+// TargetCold is the header with the time in milliseconds for which the target still warms up. The target's node sets it on
+// its responses to other nodes while the target is cold.
+const TargetCold = "Acacialock-Target-Cold-Ms"
+
 // TargetPace is the header with the current service time of a target in percent of its usual service time. The target sets
 // it on its responses, including those of its health path.
 const TargetPace = "Acacialock-Target-Pace"
