Follow a store that comes back from an older copy

Cause: in a drill the store loses its last seconds and gives versions out again; nodes would keep cursors of the former state, forget departures and evacuations, and take an older list for the newest. Change: the era of the store is part of each version; the first full read of an era is merged with what the node knew; rows are written again once; the list in force stays, unconfirmed, until it is written again; the stand-in restores copies.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,6 +5,7 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -96,9 +97,17 @@
 	rows            map[string]memberRow
 	currentList     *servicelist.List // in force; nil if there is none
 	currentListText []byte            // unparsed value of currentList
+	listEra         uint64            // last era of the store in which it held currentList or a later one
+	listMissing     bool              // a log line said that the store holds no such list
 	evacuations     evacuations
+	evacuationEra   uint64 // era of the last full read of the orders
+	membersVersion  uint64 // version of the last read of the members
 
 	ownRowVersion   atomic.Uint64
+	rowEra          atomic.Uint64             // era of the store in which own rows are written
+	storeBehind     atomic.Bool               // the store came back from a copy that is older than currentList
+	readerHolds     atomic.Bool               // the reader's list is later than that of the store, see relay.listHeld
+	holdsExpired    chan struct{}             // receives a value when held evacuations end
 	memberCount     atomic.Int64              // number of known rows
 	listInstalledAt atomic.Pointer[time.Time] // when currentList was put in force; nil before
 	stopping        atomic.Bool
@@ -132,6 +141,7 @@
 		stateChanges:  make(chan func()),
 		reparse:       make(chan struct{}, 1),
 		ownRowChanged: make(chan struct{}, 1),
+		holdsExpired:  make(chan struct{}, 1),
 		membersLoaded: make(chan struct{}),
 		listLoaded:    make(chan struct{}),
 
@@ -221,6 +231,9 @@
 			case <-d.reparse:
 				d.reparseList()
 				d.publish()
+			case <-d.holdsExpired:
+				d.endHolds(time.Now())
+				d.publish()
 			}
 		}
 	})
@@ -237,19 +250,27 @@
 	}
 }
 
-func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, full bool) {
+func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) []platform.FeedRow {
 	d.apply(ctx, func() {
-		if full {
+		switch era := platform.VersionEra(version); {
+		case full && isClosed(d.membersLoaded) && era > platform.VersionEra(d.membersVersion):
+			d.applyRestoredMembers(rows, era)
+		case full:
 			clear(d.rows)
+			fallthrough
+		default:
+			for _, row := range rows {
+				d.applyMember(row)
+			}
 		}
-		for _, row := range rows {
-			d.applyMember(row)
-		}
+		d.membersVersion = max(d.membersVersion, version)
+		d.rowEra.Store(platform.VersionEra(d.membersVersion))
 		d.memberCount.Store(int64(len(d.rows)))
 	})
 	if !isClosed(d.membersLoaded) && ctx.Err() == nil {
 		close(d.membersLoaded)
 	}
+	return rows
 }
 
 // applyMember applies one changed or removed row. A row under the own name that is read before membersLoaded is closed
@@ -305,9 +326,13 @@
 	}
 }
 
-func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, full bool) {
+func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) []platform.FeedRow {
+	era := platform.VersionEra(version)
 	if full || slices.ContainsFunc(rows, d.isEvacuation) {
-		d.apply(ctx, func() { d.applyEvacuations(rows, full) })
+		d.apply(ctx, func() { d.applyEvacuations(rows, full, era) })
+	}
+	if full {
+		d.apply(ctx, func() { d.beginListEra(era) })
 	}
 	if !isClosed(d.listLoaded) {
 		close(d.listLoaded)
@@ -322,8 +347,9 @@
 			d.config.Metrics.Counter("list.rejected").Inc(1)
 			continue
 		}
-		d.apply(ctx, func() { d.installList(list, row.Value) })
+		d.apply(ctx, func() { d.installList(list, row.Value, era) })
 	}
+	return d.heldList(ctx, rows, full, version)
 }
 
 // ListPanicError reports a service list whose parser panicked. The list is rejected like an invalid one.
@@ -367,14 +393,19 @@
 	klog.InfoS("service list read again", "version", list.Version)
 }
 
-// installList puts a list in force if its version is newer than that of the current one.
-func (d *Directory) installList(list *servicelist.List, text []byte) {
+// installList puts a list in force if its version is newer than that of the current one, or if the store has come back from
+// an older copy since and holds another list of that version.
+func (d *Directory) installList(list *servicelist.List, text []byte, era uint64) {
 	if d.currentList != nil && list.Version <= d.currentList.Version {
-		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.currentList.Version)
-		return
+		if list.Version < d.currentList.Version || era <= d.listEra || bytes.Equal(text, d.currentListText) {
+			klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.currentList.Version)
+			d.recordListEra(list.Version, era)
+			return
+		}
 	}
 	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
 	d.currentList, d.currentListText = list, text
+	d.recordListEra(list.Version, era)
 	now := time.Now()
 	d.listInstalledAt.Store(&now)
 }
@@ -466,7 +497,9 @@
 func (d *Directory) tryWriteOwnRow(ctx context.Context) error {
 	row := d.announcedRow.Load()
 	storedVersion := d.ownRowVersion.Load()
-	version, err := d.config.Store.CompareAndSwap(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Value: encodeRow(*row)}, storedVersion)
+	stored := *row
+	stored.Era = d.rowEra.Load()
+	version, err := d.config.Store.CompareAndSwap(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Value: encodeRow(stored)}, storedVersion)
 	var stale *platform.StaleRowError
 	switch {
 	case errors.As(err, &stale):
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -20,7 +20,7 @@
 // still holds.
 type memoryFeed struct {
 	mu              sync.Mutex
-	version         uint64
+	era, version    uint64
 	rows            map[string]map[string]platform.FeedRow
 	changes         map[string][]platform.FeedRow
 	delayedWrites   []func()
@@ -38,9 +38,10 @@
 	defer f.mu.Unlock()
 	var rows []platform.FeedRow
 	for _, row := range f.rows[table] {
+		row.Version = platform.EraVersion(f.era, row.Version)
 		rows = append(rows, row)
 	}
-	return rows, f.version, nil
+	return rows, platform.EraVersion(f.era, f.version), nil
 }
 
 func (f *memoryFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.FeedRow, uint64, error) {
@@ -56,13 +57,18 @@
 	}
 	for end := time.Now().Add(wait); ; {
 		f.mu.Lock()
+		if platform.VersionEra(after) != f.era {
+			f.mu.Unlock()
+			return nil, 0, &platform.HistoryLostError{Table: table, Restored: true}
+		}
 		var rows []platform.FeedRow
 		for _, row := range f.changes[table] {
+			row.Version = platform.EraVersion(f.era, row.Version)
 			if row.Version > after {
 				rows = append(rows, row)
 			}
 		}
-		version := f.version
+		version := platform.EraVersion(f.era, f.version)
 		f.mu.Unlock()
 		if len(rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
 			return rows, version, ctx.Err()
@@ -82,22 +88,39 @@
 	return f.version
 }
 
+// restore makes the store come back from a copy of the given version.
+func (f *memoryFeed) restore(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes := f.changes
+	f.rows, f.changes = map[string]map[string]platform.FeedRow{}, map[string][]platform.FeedRow{}
+	for table, rows := range changes {
+		for _, row := range rows {
+			if f.version = row.Version - 1; row.Version <= version {
+				f.put(table, row)
+			}
+		}
+	}
+	f.era++
+	f.version = version
+}
+
 func (f *memoryFeed) CompareAndSwap(_ context.Context, table string, row platform.FeedRow, ifVersion uint64) (uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.delayNextWrite {
 		f.delayNextWrite = false
 		f.delayedWrites = append(f.delayedWrites, func() {
-			if f.rows[table][row.Key].Version == ifVersion {
+			if f.rows[table][row.Key].Version == platform.VersionCounter(ifVersion) {
 				f.put(table, row)
 			}
 		})
 		return 0, &platform.UnavailableError{Operation: "replace", Cause: context.DeadlineExceeded}
 	}
-	if stored := f.rows[table][row.Key]; stored.Version != ifVersion {
+	if stored := f.rows[table][row.Key]; stored.Version != platform.VersionCounter(ifVersion) {
 		return 0, &platform.StaleRowError{Stored: stored}
 	}
-	return f.put(table, row), nil
+	return platform.EraVersion(f.era, f.put(table, row)), nil
 }
 
 func (f *memoryFeed) applyDelayedWrites() {
--- a/internal/membership/endless_test.go
+++ b/internal/membership/endless_test.go
@@ -75,7 +75,7 @@
 	_, err := d.parseList([]byte("short"))
 	var panicked *ListPanicError
 	assert.Assert(t, errors.As(err, &panicked))
-	d.applyList(context.Background(), []platform.FeedRow{{Key: "config", Version: 3, Value: []byte("short")}}, false)
+	d.applyList(context.Background(), []platform.FeedRow{{Key: "config", Version: 3, Value: []byte("short")}}, false, 3)
 	assert.Equal(t, d.config.Metrics.Values()["list.rejected"], int64(1))
 	assert.Equal(t, d.config.Metrics.Values()["panic.list"], int64(2))
 }
--- a/internal/membership/evacuations_test.go
+++ b/internal/membership/evacuations_test.go
@@ -36,7 +36,7 @@
 		{[]platform.FeedRow{{Key: "config", Version: 1}, order("b", 4, false)}, true, []string{"b"}},
 		{nil, true, nil},
 	} {
-		d.applyEvacuations(step.rows, step.full)
+		d.applyEvacuations(step.rows, step.full, 0)
 		d.publish()
 		assert.DeepEqual(t, slices.Sorted(maps.Keys(view.Load().EvacuatedZones)), step.want)
 	}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -23,8 +23,9 @@
 	// pauseAfterChanges returns the pause before the next read after a read that returned changes, which batches further
 	// changes into one read. Nil for no pause.
 	pauseAfterChanges func() time.Duration
-	// apply applies rows to the node's state. If full is set, they are the complete table, otherwise changes.
-	apply       func(ctx context.Context, rows []platform.FeedRow, full bool)
+	// apply applies rows to the node's state. If full is set, they are the complete table at the version, otherwise changes. It
+	// returns the rows to be relayed to followers.
+	apply       func(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) []platform.FeedRow
 	cancelRead  *atomic.Pointer[context.CancelFunc] // if not nil, set to the cancel function of the read in progress
 	relay       *relay
 	relayTable  *relayTable // this table in relay
@@ -38,7 +39,7 @@
 // update applies rows that were read and passes them to the relay for followers.
 func (f *followedTable) update(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) {
 	if len(rows) > 0 || full {
-		f.apply(ctx, rows, full)
+		rows = f.apply(ctx, rows, full, version)
 	}
 	f.version.Store(max(f.version.Load(), version))
 	f.loaded.Store(true)
@@ -59,6 +60,7 @@
 
 // followStore reads both tables from the store until ctx ends or it has connected to a reader, whose stream it returns.
 func (d *Directory) followStore(ctx context.Context) (found *readerStream) {
+	d.readerHolds.Store(false)
 	readCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var group errgroup.Group
@@ -141,8 +143,11 @@
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &historyLost):
-			klog.InfoS("history lost, reading the table again", "table", table.name, "after", after)
+			klog.InfoS("history lost, reading the table again", "table", table.name, "after", after, "restored", historyLost.Restored)
 			table.loaded.Store(false)
+			if historyLost.Restored && table.tracksStore {
+				d.signalStoreRegained() // the other read may wait for a version that is long in coming
+			}
 			retry.wait(ctx)
 			continue
 		case err != nil && interrupted:
@@ -166,7 +171,7 @@
 		retry.reset()
 		table.update(ctx, rows, full, version)
 		if table.tracksStore && ctx.Err() == nil {
-			d.relay.proof.renew(startedAt)
+			d.confirmList(startedAt)
 		}
 		if table.tracksStore && !d.stopping.Load() {
 			d.relay.setSource(sourceStore)
--- a/internal/membership/listage.go
+++ b/internal/membership/listage.go
@@ -66,6 +66,14 @@
 	Age   int64 `json:"age_us"`   // age of the reader's proof at that moment, in µs
 }
 
+// confirmList records a proof that the list in force was the newest one at the given time. After the store has come back
+// from an older copy, what it holds proves nothing about a later list that is in force.
+func (d *Directory) confirmList(at time.Duration) {
+	if !d.storeBehind.Load() {
+		d.relay.proof.renew(at)
+	}
+}
+
 // newProofFrame returns the statement for a frame that is built at now, or nil without a proof. It must be called before
 // the tables are copied into the frame, which then holds all that the proof covers.
 func (p *listProof) newProofFrame(now time.Duration) *proofFrame {
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -77,6 +77,7 @@
 type tableFrame struct {
 	Version uint64     `json:"version"`
 	Full    bool       `json:"whole,omitempty"` // Rows is the complete table
+	Held    bool       `json:"held,omitempty"`  // see relay.listHeld
 	Rows    []rowFrame `json:"rows,omitempty"`
 }
 
@@ -105,6 +106,9 @@
 
 	proof     listProof
 	statesAge bool // frames state the age of the list
+	// listHeld is true while the relayed list is later than that of the store, which came back from an older copy. The first
+	// frame of each stream then has the whole table: the version of the row does not show that a follower lacks the list.
+	listHeld bool
 }
 
 // relayTable is a copy of a table that retains tombstones, from which the changes since a version can be determined.
@@ -261,9 +265,28 @@
 		next.Proof = r.proof.newProofFrame(timing.SinceBoot())
 	}
 	next.Members, next.List = r.members.frameSince(membersVersion), r.list.frameSince(listVersion)
+	next.List.Held = r.listHeld
 	return next, r.changed, r.readDeadline, true
 }
 
+// firstListVersion returns the version of the list from which the next frame of a stream starts: listVersion, or none if it
+// is the first frame and the list is held.
+func (r *relay) firstListVersion(first bool, listVersion uint64) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first && r.listHeld {
+		return 0
+	}
+	return listVersion
+}
+
+// setListHeld sets whether the relayed list is later than that of the store.
+func (r *relay) setListHeld(held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listHeld = held
+}
+
 func (r *relay) addFollowers(delta int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -311,8 +334,9 @@
 	encoder := json.NewEncoder(w)
 	heartbeat := time.NewTimer(heartbeatInterval)
 	defer heartbeat.Stop()
+	first := true
 	for {
-		next, changed, deadline, ok := r.nextFrame(scope, membersVersion, listVersion)
+		next, changed, deadline, ok := r.nextFrame(scope, membersVersion, r.firstListVersion(first, listVersion))
 		if !ok {
 			return
 		}
@@ -320,6 +344,7 @@
 		if encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the follower disconnected
 		}
+		first = false
 		membersVersion, listVersion = next.Members.Version, next.List.Version
 		heartbeat.Reset(min(heartbeatInterval, time.Until(deadline)))
 		select {
--- a/internal/membership/row.go
+++ b/internal/membership/row.go
@@ -22,6 +22,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Departed is set when the target has left permanently. The row is retained so that a restarted node still knows it.
 	Departed bool `json:"gone,omitempty"`
+	// Era is the era of the store in which the node wrote the row, see platform.EraVersion. A row of an earlier one comes from
+	// the copy.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // TargetStart identifies one start of a target, as reported by the target's check-ins.
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -310,7 +310,7 @@
 			return err
 		}
 		if clock := stream.clock.Load(); clock != nil && next.Proof != nil && ctx.Err() == nil {
-			d.relay.proof.renew(clock.proven(next.Proof))
+			d.confirmList(clock.proven(next.Proof))
 		}
 		next = frame{}
 		if err := stream.readFrame(&next); err != nil {
@@ -357,6 +357,7 @@
 
 // applyFrame applies a frame to both tables. It fails if a row can't be decompressed.
 func (d *Directory) applyFrame(ctx context.Context, next *frame) error {
+	d.readerHolds.Store(next.List.Held)
 	for _, part := range []struct {
 		table *followedTable
 		frame *tableFrame
@@ -367,6 +368,9 @@
 		}
 		part.table.update(ctx, rows, part.frame.Full, part.frame.Version)
 	}
+	if next.List.Held && !d.storeBehind.Load() {
+		d.markListHeld(ctx)
+	}
 	d.relay.extendDeadline(readerSilenceTimeout + listReadGrace)
 	return nil
 }
