--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -233,6 +233,7 @@
 		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
 		w.result <- result{refusal: refused}
 	}
+	l.grantQueued()
 }
 
 // checkAdmission returns the reason why a request can be neither started nor queued, or nil.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -125,6 +125,30 @@
 	{"new list", false, func(s *soak, _ *testsite.Node, _ *rand.Rand, _ time.Duration) { s.lists.publishNext() }},
 }
 
+const (
+	// restoreGap is the mean time between two returns of the store from an older copy.
+	restoreGap = 20 * time.Second
+	// maxCopyAge is the greatest age of the copy, and maxRepublishDelay the longest time until the operator has written the list
+	// again.
+	maxCopyAge        = 5 * time.Second
+	maxRepublishDelay = 2 * time.Second
+)
+
+// restoreStore makes the store come back from older copies until s.ctx is done. Each time, the operator writes the list again.
+func (s *soak) restoreStore(random *rand.Rand) {
+	for {
+		s.sleep(time.Duration(random.ExpFloat64() * float64(restoreGap)))
+		if s.ctx.Err() != nil {
+			return
+		}
+		age := time.Duration(random.Int64N(int64(maxCopyAge)))
+		s.logf("the store comes back from a copy of %v ago", age.Round(time.Millisecond))
+		s.site.Store.Restore(age)
+		s.sleep(time.Duration(random.Int64N(int64(maxRepublishDelay))))
+		s.lists.publishAgain()
+	}
+}
+
 // durations sums durations by name. Safe for concurrent use.
 type durations struct {
 	mu     sync.Mutex
--- a/soak/lists.go
+++ b/soak/lists.go
@@ -33,6 +33,19 @@
 	defer l.mu.Unlock()
 	l.version++
 	l.changedAt = time.Now()
+	l.write()
+	return l.version
+}
+
+// publishAgain publishes the current version again, after the store has lost it.
+func (l *listPublisher) publishAgain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.write()
+}
+
+// write writes the current version to the store. l.mu must be held.
+func (l *listPublisher) write() {
 	route := func(name, prefix string, idempotent bool) standin.Route {
 		return standin.Route{
 			Name: name, Host: host, Prefix: prefix, Service: "shop", Idempotent: idempotent, Timeout: 1900 * time.Millisecond,
@@ -44,7 +57,6 @@
 		routes = append(routes, route(fmt.Sprintf("v%d", k), routePath(k), true))
 	}
 	l.store.PutDesiredState(l.version, routes)
-	return l.version
 }
 
 func (l *listPublisher) currentVersion() int {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -99,6 +99,7 @@
 	var statements sync.WaitGroup
 	// A stream of its own keeps the faults of a seed the same.
 	statements.Go(func() { s.makeStatements(rand.New(rand.NewPCG(config.seed, 2))) })
+	statements.Go(func() { s.restoreStore(rand.New(rand.NewPCG(config.seed, 3))) })
 	s.injectFaults(rand.New(rand.NewPCG(config.seed, 0)))
 	statements.Wait()
 	timer.Stop()
