--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,6 +5,7 @@
 package membership
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -55,10 +56,13 @@
 // ListSource is the location of the service list in the store, and its parser.
 type ListSource struct {
 	Table, Key string
-	Parse      func(value []byte) (*servicelist.List, error)
+	// EvacuationPrefix is the start of the keys of rows in Table that order the evacuation of an availability zone, whose name
+	// follows it. A zone is evacuated while its row exists. Empty: there are no such rows.
+	EvacuationPrefix string
+	Parse            func(value []byte) (*servicelist.List, error)
 }
 
-// Config configures a Directory. All fields except Peers are required.
+// Config configures a Directory. All fields except Peers and MaxListAge are required.
 type Config struct {
 	// Name is the node's name, the key of its row in the store.
 	Name string
@@ -70,6 +74,9 @@
 	// Peers sends requests to other nodes. If nil, this node always reads the store itself.
 	Peers   *http.Client
 	Metrics *telemetry.Registry
+	// MaxListAge is the age that ListConfirmed must not reach while the store answers. Frames state the age of the list then,
+	// and the list is read at least four times in it. 0: no bound.
+	MaxListAge time.Duration
 }
 
 // Directory holds the node's control state: the known members and the service list in force. A single goroutine, started
@@ -90,8 +97,17 @@
 	rows            map[string]memberRow
 	currentList     *servicelist.List // in force; nil if there is none
 	currentListText []byte            // unparsed value of currentList
+	listEra         uint64            // last era of the store in which it held currentList or a later one
+	listMissing     bool              // a log line said that the store holds no such list
+	evacuations     evacuations
+	evacuationEra   uint64 // era of the last full read of the orders
+	membersVersion  uint64 // version of the last read of the members
 
 	ownRowVersion   atomic.Uint64
+	rowEra          atomic.Uint64             // era of the store in which own rows are written
+	storeBehind     atomic.Bool               // the store came back from a copy that is older than currentList
+	readerHolds     atomic.Bool               // the reader's list is later than that of the store, see relay.listHeld
+	holdsExpired    chan struct{}             // receives a value when held evacuations end
 	memberCount     atomic.Int64              // number of known rows
 	listInstalledAt atomic.Pointer[time.Time] // when currentList was put in force; nil before
 	stopping        atomic.Bool
@@ -125,15 +141,18 @@
 		stateChanges:  make(chan func()),
 		reparse:       make(chan struct{}, 1),
 		ownRowChanged: make(chan struct{}, 1),
+		holdsExpired:  make(chan struct{}, 1),
 		membersLoaded: make(chan struct{}),
 		listLoaded:    make(chan struct{}),
 
 		preferenceChanged: make(chan struct{}, 1),
 		listInstalled:     make(chan struct{}),
 		rows:              map[string]memberRow{},
+		evacuations:       evacuations{},
 
 		avoidUntil: map[string]time.Time{},
 	}
+	d.relay.statesAge = config.MaxListAge > 0
 	initial := rankReaders(nil, config.Self)
 	d.ranking.Store(&initial)
 	d.members = &followedTable{
@@ -212,6 +231,9 @@
 			case <-d.reparse:
 				d.reparseList()
 				d.publish()
+			case <-d.holdsExpired:
+				d.endHolds(time.Now())
+				d.publish()
 			}
 		}
 	})
@@ -228,19 +250,27 @@
 	}
 }
 
-func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, full bool) {
+func (d *Directory) applyMembers(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) []platform.FeedRow {
 	d.apply(ctx, func() {
-		if full {
+		switch era := platform.VersionEra(version); {
+		case full && isClosed(d.membersLoaded) && era > platform.VersionEra(d.membersVersion):
+			d.applyRestoredMembers(rows, era)
+		case full:
 			clear(d.rows)
+			fallthrough
+		default:
+			for _, row := range rows {
+				d.applyMember(row)
+			}
 		}
-		for _, row := range rows {
-			d.applyMember(row)
-		}
+		d.membersVersion = max(d.membersVersion, version)
+		d.rowEra.Store(platform.VersionEra(d.membersVersion))
 		d.memberCount.Store(int64(len(d.rows)))
 	})
 	if !isClosed(d.membersLoaded) && ctx.Err() == nil {
 		close(d.membersLoaded)
 	}
+	return rows
 }
 
 // applyMember applies one changed or removed row. A row under the own name that is read before membersLoaded is closed
@@ -296,7 +326,14 @@
 	}
 }
 
-func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, _ bool) {
+func (d *Directory) applyList(ctx context.Context, rows []platform.FeedRow, full bool, version uint64) []platform.FeedRow {
+	era := platform.VersionEra(version)
+	if full || slices.ContainsFunc(rows, d.isEvacuation) {
+		d.apply(ctx, func() { d.applyEvacuations(rows, full, era) })
+	}
+	if full {
+		d.apply(ctx, func() { d.beginListEra(era) })
+	}
 	if !isClosed(d.listLoaded) {
 		close(d.listLoaded)
 	}
@@ -310,8 +347,9 @@
 			d.config.Metrics.Counter("list.rejected").Inc(1)
 			continue
 		}
-		d.apply(ctx, func() { d.installList(list, row.Value) })
+		d.apply(ctx, func() { d.installList(list, row.Value, era) })
 	}
+	return d.heldList(ctx, rows, full, version)
 }
 
 // ListPanicError reports a service list whose parser panicked. The list is rejected like an invalid one.
@@ -355,21 +393,28 @@
 	klog.InfoS("service list read again", "version", list.Version)
 }
 
-// installList puts a list in force if its version is newer than that of the current one.
-func (d *Directory) installList(list *servicelist.List, text []byte) {
+// installList puts a list in force if its version is newer than that of the current one, or if the store has come back from
+// an older copy since and holds another list of that version.
+func (d *Directory) installList(list *servicelist.List, text []byte, era uint64) {
 	if d.currentList != nil && list.Version <= d.currentList.Version {
-		klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.currentList.Version)
-		return
+		if list.Version < d.currentList.Version || era <= d.listEra || bytes.Equal(text, d.currentListText) {
+			klog.InfoS("service list ignored: not newer", "version", list.Version, "in_force", d.currentList.Version)
+			d.recordListEra(list.Version, era)
+			return
+		}
 	}
 	klog.InfoS("service list in force", "version", list.Version, "services", len(list.Services), "rules", list.Rules.Len())
 	d.currentList, d.currentListText = list, text
+	d.recordListEra(list.Version, era)
 	now := time.Now()
 	d.listInstalledAt.Store(&now)
 }
 
 // publish publishes a new snapshot of members and service list for the request path.
 func (d *Directory) publish() {
-	snapshot := &cluster.Snapshot{Self: d.config.Self, List: d.currentList, Members: map[string][]cluster.Member{}}
+	snapshot := &cluster.Snapshot{
+		Self: d.config.Self, List: d.currentList, Members: map[string][]cluster.Member{}, EvacuatedZones: d.evacuations.zones(),
+	}
 	add := func(row Row) {
 		if row.Departed || row.Member.ID == "" {
 			return
@@ -452,7 +497,9 @@
 func (d *Directory) tryWriteOwnRow(ctx context.Context) error {
 	row := d.announcedRow.Load()
 	storedVersion := d.ownRowVersion.Load()
-	version, err := d.config.Store.CompareAndSwap(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Value: encodeRow(*row)}, storedVersion)
+	stored := *row
+	stored.Era = d.rowEra.Load()
+	version, err := d.config.Store.CompareAndSwap(ctx, MembersTable, platform.FeedRow{Key: d.config.Name, Value: encodeRow(stored)}, storedVersion)
 	var stale *platform.StaleRowError
 	switch {
 	case errors.As(err, &stale):
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/timing"
 )
 
 const (
@@ -67,14 +68,16 @@
 
 // frame is one message from a reader to a follower.
 type frame struct {
-	Members tableFrame `json:"members"`
-	List    tableFrame `json:"list"`
+	Members tableFrame  `json:"members"`
+	List    tableFrame  `json:"list"`
+	Proof   *proofFrame `json:"proof,omitempty"` // nil: the reader can't tell the age of its list, or need not
 }
 
 // tableFrame contains the rows that update a follower's copy of a table to Version.
 type tableFrame struct {
 	Version uint64     `json:"version"`
 	Full    bool       `json:"whole,omitempty"` // Rows is the complete table
+	Held    bool       `json:"held,omitempty"`  // see relay.listHeld
 	Rows    []rowFrame `json:"rows,omitempty"`
 }
 
@@ -100,6 +103,12 @@
 	readDeadline time.Time // time by which the read of the list in progress, or the reader's next frame, must arrive
 	followers    int
 	changed      chan struct{} // closed and replaced at each change
+
+	proof     listProof
+	statesAge bool // frames state the age of the list
+	// listHeld is true while the relayed list is later than that of the store, which came back from an older copy. The first
+	// frame of each stream then has the whole table: the version of the row does not show that a follower lacks the list.
+	listHeld bool
 }
 
 // relayTable is a copy of a table that retains tombstones, from which the changes since a version can be determined.
@@ -252,10 +261,32 @@
 	if r.source < scope.requiredSource() || !time.Now().Before(r.readDeadline) {
 		return frame{}, nil, time.Time{}, false
 	}
-	next = frame{Members: r.members.frameSince(membersVersion), List: r.list.frameSince(listVersion)}
+	if r.statesAge {
+		next.Proof = r.proof.newProofFrame(timing.SinceBoot())
+	}
+	next.Members, next.List = r.members.frameSince(membersVersion), r.list.frameSince(listVersion)
+	next.List.Held = r.listHeld
 	return next, r.changed, r.readDeadline, true
 }
 
+// firstListVersion returns the version of the list from which the next frame of a stream starts: listVersion, or none if it
+// is the first frame and the list is held.
+func (r *relay) firstListVersion(first bool, listVersion uint64) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first && r.listHeld {
+		return 0
+	}
+	return listVersion
+}
+
+// setListHeld sets whether the relayed list is later than that of the store.
+func (r *relay) setListHeld(held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listHeld = held
+}
+
 func (r *relay) addFollowers(delta int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -270,7 +301,12 @@
 
 // ServeHTTP streams frames until this node no longer has the source that the follower needs or the follower disconnects. It
 // responds with 400 if the version headers are missing or invalid, and with 409 if the follower has to choose another reader.
+// A HEAD request reads the clock only.
 func (r *relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	serveClock(w)
+	if request.Method == http.MethodHead {
+		return
+	}
 	membersVersion, membersErr := strconv.ParseUint(request.Header.Get(headerMembersVersion), 10, 64)
 	listVersion, listErr := strconv.ParseUint(request.Header.Get(headerListVersion), 10, 64)
 	if membersErr != nil || listErr != nil {
@@ -298,8 +334,9 @@
 	encoder := json.NewEncoder(w)
 	heartbeat := time.NewTimer(heartbeatInterval)
 	defer heartbeat.Stop()
+	first := true
 	for {
-		next, changed, deadline, ok := r.nextFrame(scope, membersVersion, listVersion)
+		next, changed, deadline, ok := r.nextFrame(scope, membersVersion, r.firstListVersion(first, listVersion))
 		if !ok {
 			return
 		}
@@ -307,6 +344,7 @@
 		if encoder.Encode(next) != nil || control.Flush() != nil {
 			return // the follower disconnected
 		}
+		first = false
 		membersVersion, listVersion = next.Members.Version, next.List.Version
 		heartbeat.Reset(min(heartbeatInterval, time.Until(deadline)))
 		select {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -25,9 +28,11 @@
 	if reader, ok := n.directory.Reader(); ok {
 		state.Reader = reader.ID
 	}
+	state.EvacuatedZones = slices.Sorted(maps.Keys(snapshot.EvacuatedZones))
 	if current := n.target.current.Load(); current != nil {
 		load := current.handler.LoadSample()
 		state.InFlight, state.Queued = load.InFlight, load.Queued
+		state.ColdMS = current.handler.ColdFor().Milliseconds()
 		if limit := current.handler.RateLimit(); limit.Rate > 0 {
 			state.Limit, state.LimitAgeMS = limit.Rate, time.Since(limit.HeardAt).Milliseconds()
 		}
@@ -42,7 +47,13 @@
 	if state.StoreLost {
 		storeLost = 1
 	}
+	unconfirmed := int64(-1)
+	if age := n.directory.ListConfirmed(); age < math.MaxInt64 {
+		unconfirmed = age.Milliseconds()
+	}
 	for name, value := range map[string]int64{
+		"list.unconfirmed.ms": unconfirmed,
+
 		"target.in-flight": int64(state.InFlight),
 		"target.queued":    int64(state.Queued),
 		"members":          int64(state.Members),
@@ -53,6 +64,7 @@
 		// Gauges are integers, and limits may be below one request per second.
 		"target.limit.milli":  int64(1000 * state.Limit),
 		"target.limit.age.ms": state.LimitAgeMS,
+		"target.cold.ms":      state.ColdMS,
 	} {
 		n.metrics.Gauge(name).Update(value)
 	}
