Serve requests as those of the tenant that holds the caller's API key

Cause: the list could hold tenants, but the nodes ignored them: keys were forwarded to targets, a tenant's name that a caller sent reached the target, unknown keys were served, and requests crossed regions that their rule or tenant forbids. Change: the caller's node looks the key up by its digest once the rule is known, removes it, and names the tenant to the target's node; unknown keys get 401, keys that may have been withdrawn or added since the last proof of the list 503. The tenant's priority replaces the rule's. Each send is restricted to the regions that rule and tenant allow; without a member there the request is refused at once. Allotments are taken before the body is read and returned for requests that reached no target. Idempotency-Keys of different tenants are different keys. The desired state and the list in TOML are decoded with all new fields, and rejected as a whole with entry and field named.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,6 +2,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/cluster"
@@ -27,6 +28,9 @@
 	// Region restricts the selection to members of that region; empty means no restriction. Keyed calls set the home
 	// region.
 	Region string
+	// Regions restricts the selection to members of these regions; empty means no restriction. If this node's own region is
+	// not among them, the call is sent to another one like any other call.
+	Regions []string
 	// Overflow requests a member of another region for a call that the node's own region refused. Such calls are
 	// admitted only while the other regions have capacity.
 	Overflow bool
@@ -36,13 +40,16 @@
 
 // allows reports whether the request may be sent to member. id is the member's current id, which differs from
 // member.ID after the member's node has restarted.
-func (r Request) allows(member *cluster.Member, id string) bool {
+func (r *Request) allows(member *cluster.Member, id string) bool {
 	if member.Draining || (r.Avoid != "" && id == r.Avoid) {
 		return false
 	}
 	if r.Region != "" && member.Region != r.Region {
 		return false
 	}
+	if !r.allowsRegion(member.Region) {
+		return false
+	}
 	for _, excluded := range r.Exclude {
 		if excluded == id {
 			return false
@@ -51,6 +58,11 @@
 	return true
 }
 
+// allowsRegion reports whether the request may be sent to members of a region by Regions.
+func (r *Request) allowsRegion(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Pick is the member selected for one attempt.
 type Pick struct {
 	Member cluster.Member
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -13,7 +13,7 @@
 	p.updateFleetStats(now)
 	allowed := p.allowed[:0]
 	healthy := p.healthy[:0]
-	stayInRegion := p.config.StayInRegion && p.ownRegionAvailable(now)
+	stayInRegion := p.config.StayInRegion && request.allowsRegion(p.config.Self.Region) && p.ownRegionAvailable(now)
 	reachable := 0
 	for _, candidate := range p.states {
 		if !request.allows(&candidate.member, candidate.id()) || candidate.draining ||
--- a/internal/balance/limited_test.go
+++ b/internal/balance/limited_test.go
@@ -56,7 +56,7 @@
 	}
 	_, err := b.pool.Pick(Request{Overflow: true})
 	assert.Assert(t, err != nil)
-	assert.Assert(t, !b.pool.CanOverflow())
+	assert.Assert(t, !b.pool.CanOverflow(nil))
 	b.now = b.now.Add(limitMemory)
-	assert.Assert(t, b.pool.CanOverflow())
+	assert.Assert(t, b.pool.CanOverflow(nil))
 }
--- a/internal/balance/overflow.go
+++ b/internal/balance/overflow.go
@@ -82,15 +82,19 @@
 	return chosen, p.expectedResponseTime(chosen, now)
 }
 
-// CanOverflow reports whether a pick with Request.Overflow may succeed now. It does not change the circuit breaker.
-func (p *Pool) CanOverflow() bool {
+// CanOverflow reports whether a pick with Request.Overflow and these Regions may succeed now. It does not change the circuit
+// breaker.
+func (p *Pool) CanOverflow(regions []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Clock()
 	if p.overflow.blocked && now.Before(p.overflow.nextTrialAt) || !p.config.LinkHasCapacity() {
 		return false
 	}
-	return slices.ContainsFunc(p.states, func(candidate *memberState) bool { return p.takesOverflow(candidate, now) })
+	request := Request{Regions: regions}
+	return slices.ContainsFunc(p.states, func(candidate *memberState) bool {
+		return request.allowsRegion(candidate.member.Region) && p.takesOverflow(candidate, now)
+	})
 }
 
 // takesOverflow reports whether a member is in another region and seems able to serve. A target that names a limit has
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -111,7 +111,7 @@
 	if chosen == nil {
 		return Pick{}, noTarget(p.config.Service, members)
 	}
-	pick := NewPick(member, p.doneOnce(chosen, trial, now))
+	pick := NewPick(member, p.doneOnce(chosen, trial, request.allowsRegion(p.config.Self.Region), now))
 	pick.Limited = limited
 	pick.reportUnresponsive = func() { p.requestCheck(chosen) }
 	return pick, nil
@@ -129,7 +129,9 @@
 	p.startChecks(now)
 }
 
-func (p *Pool) doneOnce(chosen *memberState, trial bool, sentAt time.Time) func(Result) {
+// doneOnce returns the function that records the result of a pick. mayStay is false for calls that this node's region may not
+// serve: they wait in the other region like its own calls, so their results don't show whether it has free slots.
+func (p *Pool) doneOnce(chosen *memberState, trial, mayStay bool, sentAt time.Time) func(Result) {
 	ended := false // guarded by the pool's lock
 	return func(result Result) {
 		now := p.config.Clock()
@@ -143,6 +145,9 @@
 		if result.Class == OK {
 			p.updateOverdueRatio(completed, now)
 		}
+		if chosen.distance == otherRegion && mayStay {
+			p.overflow.recordResult(result, now)
+		}
 		p.recordResult(chosen, result, now)
 		p.limitEjections(now)
 		if trial {
@@ -165,9 +170,6 @@
 	if result.LimitNamed {
 		state.limitNamedUntil = now.Add(limitMemory)
 	}
-	if state.distance == otherRegion {
-		p.overflow.recordResult(result, now)
-	}
 	switch result.Class {
 	case OK:
 		p.updateReachability(state, "answer",
--- a/internal/balance/region_test.go
+++ b/internal/balance/region_test.go
@@ -1,10 +1,13 @@
 package balance
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
@@ -70,3 +73,54 @@
 	observe(16) // seven requests wait
 	assert.Equal(t, picked(), "next@1")
 }
+
+// Guards against a pick outside of the allowed regions, whatever the members' state: after refusals, failures and lost
+// connections, for first sends and for overflow.
+func TestPicksStayInAllowedRegions(t *testing.T) {
+	regions := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		pool := NewPool(Config{
+			Service: "s", Self: cluster.Member{Region: "a", Zone: "z"}, Seed: 1, StayInRegion: rapid.Bool().Draw(t, "stay"),
+			Clock: func() time.Time { return now },
+		})
+		defer pool.Close()
+		var members []cluster.Member
+		for i := range rapid.IntRange(1, 6).Draw(t, "members") {
+			members = append(members, cluster.Member{ID: fmt.Sprint("n", i, "@1"), Zone: "z", Region: rapid.SampledFrom(regions).Draw(t, "region")})
+		}
+		pool.Update(members)
+		for range rapid.IntRange(1, 30).Draw(t, "picks") {
+			request := Request{Overflow: rapid.Bool().Draw(t, "overflow"), Regions: rapid.SliceOfDistinct(rapid.SampledFrom(regions), rapid.ID).Draw(t, "allowed")}
+			pick, err := pool.Pick(request)
+			hasMember := slices.ContainsFunc(members, func(m cluster.Member) bool { return request.allowsRegion(m.Region) })
+			assert.Assert(t, request.Overflow || err == nil == hasMember, "an allowed member is used, even if it looks unhealthy")
+			if err != nil {
+				continue
+			}
+			assert.Assert(t, request.allowsRegion(pick.Member.Region), "%v got %v", request.Regions, pick.Member)
+			pick.Done(rapid.SampledFrom([]Result{
+				{Class: OK}, {Class: Refused, Reason: failure.QueueFull}, {Class: Failed, Reason: failure.ConnectFailed}, {Class: Cancelled},
+			}).Draw(t, "result"))
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+// Guards against requests that may not be served here and whose refusals elsewhere stop the overflow of all others.
+func TestRequestsForAnotherRegionDoNotBlockOverflow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := NewPool(Config{
+		Service: "s", Self: cluster.Member{Region: "a", Zone: "z"}, Seed: 1, StayInRegion: true, Clock: func() time.Time { return now },
+	})
+	defer pool.Close()
+	pool.Update([]cluster.Member{{ID: "near@1", Region: "a", Zone: "z"}, {ID: "far@1", Region: "b", Zone: "y"}})
+	for range 5 {
+		pick, err := pool.Pick(Request{Regions: []string{"b"}})
+		assert.NilError(t, err)
+		pick.Done(Result{Class: Refused, Reason: failure.QueueFull})
+	}
+	now = now.Add(time.Second)
+	assert.Assert(t, pool.CanOverflow(nil))
+	assert.Assert(t, !pool.CanOverflow([]string{"a"}))
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -145,8 +145,12 @@
 	if a.call.idempotent {
 		header.Set(wire.Idempotent, "1")
 	}
-	if rule := a.call.rule; rule != nil {
-		header.Set(wire.Rank, wire.FormatRank(rule.Name, rule.Priority, a.call.softRemaining()))
+	if a.call.rule != nil || a.call.tenant != nil {
+		_, kind := a.call.route()
+		header.Set(wire.Rank, wire.FormatRank(kind, a.call.priority(), a.call.softRemaining()))
+	}
+	if a.call.tenant != nil {
+		header.Set(wire.TenantName, a.call.tenant.Name)
 	}
 	switch {
 	case a.overflow:
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -28,7 +28,10 @@
 type call struct {
 	request      *http.Request
 	snapshot     *cluster.Snapshot
-	rule         *servicelist.Rule // nil when the host names the service
+	rule         *servicelist.Rule   // nil when the host names the service
+	tenant       *servicelist.Tenant // whose API key the caller gave; nil: the list has no tenants or the rule is public
+	allotted     bool                // the call was taken from its tenant's allotment
+	regions      []string            // regions that the call may be sent to; nil: all
 	service      *servicelist.Service
 	body         *requestBody
 	idempotent   bool
@@ -48,15 +51,16 @@
 }
 
 // newCall checks the request against the service list in force and returns its call, or the failure with which it is
-// refused. A small request body of known length is read at once.
-func (h *Handler) newCall(request *http.Request) (*call, *failure.Error) {
+// refused. A small request body of known length is read at once. peer is true for calls relayed by another node.
+func (h *Handler) newCall(request *http.Request, peer bool) (*call, *failure.Error) {
+	listAge := h.listAge()
 	snapshot := h.config.View.Load()
 	if snapshot.List == nil {
 		return nil, failure.New(failure.NoServiceList, failure.NotRun, "the node knows no accepted service list yet")
 	}
 	h.config.Policies.Update(snapshot)
 	c := &call{request: request, snapshot: snapshot}
-	if failed := c.findService(); failed != nil {
+	if failed := h.routeCall(c, listAge, peer); failed != nil {
 		return nil, failed
 	}
 	if failed := c.readHeaders(); failed != nil {
@@ -65,18 +69,43 @@
 	if failed := c.checkAccess(); failed != nil {
 		return nil, failed
 	}
-	serverBody := request.Body
-	if limit := snapshot.List.CallerLimits.MaxBodyBytes; limit > 0 {
-		if request.ContentLength > limit {
-			return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the body has %d bytes, %d are allowed", request.ContentLength, limit)
-		}
-		if request.ContentLength < 0 {
-			request.Body = http.MaxBytesReader(nil, request.Body, limit)
+	if failed := c.checkBodySize(); failed != nil {
+		return nil, failed
+	}
+	if failed := c.restrictRegions(); failed != nil {
+		return nil, failed
+	}
+	if !peer { // the other node has taken the call from the allotment
+		if failed := h.takeAllotment(c); failed != nil {
+			return nil, failed
 		}
 	}
-	body, err := newRequestBody(request)
+	return h.prepareCall(c)
+}
+
+// routeCall sets the rule, the tenant and the service. The service comes after the key, so that a request that is refused
+// takes no place in a split.
+func (h *Handler) routeCall(c *call, listAge time.Duration, peer bool) *failure.Error {
+	if failed := c.findRule(); failed != nil {
+		return failed
+	}
+	if failed := h.identify(c, listAge, peer); failed != nil {
+		return failed
+	}
+	return c.findService()
+}
+
+// prepareCall reads a small body and applies the node's stop to the deadline.
+func (h *Handler) prepareCall(c *call) (*call, *failure.Error) {
+	serverBody := c.request.Body
+	if limit := c.snapshot.List.CallerLimits.MaxBodyBytes; limit > 0 && c.request.ContentLength < 0 {
+		c.request.Body = http.MaxBytesReader(nil, c.request.Body, limit)
+	}
+	body, err := newRequestBody(c.request)
 	if err != nil {
-		return nil, failure.Wrap(err, failure.BadRequest, failure.NotRun, "the request body ended early")
+		failed := failure.Wrap(err, failure.BadRequest, failure.NotRun, "the request body ended early")
+		h.returnAllotment(c, failed)
+		return nil, failed
 	}
 	body.serverBody = serverBody
 	c.body = body
@@ -86,16 +115,36 @@
 	return c, nil
 }
 
-// findService sets the rule and the service that match the request's host and path.
-func (c *call) findService() *failure.Error {
+// checkBodySize refuses a body whose length is known to be above the limit.
+func (c *call) checkBodySize() *failure.Error {
+	limit := c.snapshot.List.CallerLimits.MaxBodyBytes
+	if limit > 0 && c.request.ContentLength > limit {
+		return failure.New(failure.BodyTooLarge, failure.NotRun, "the body has %d bytes, %d are allowed", c.request.ContentLength, limit)
+	}
+	return nil
+}
+
+// findRule sets the rule that matches the request's host and path. In a list without rules the host names the service.
+func (c *call) findRule() *failure.Error {
 	list, host := c.snapshot.List, hostName(c.request.Host)
-	name := host
-	if list.Rules.Len() > 0 {
-		if c.rule = list.Rules.Match(host, c.request.URL.Path); c.rule == nil {
-			return failure.New(failure.UnknownRoute, failure.NotRun, "no rule of list %d matches host %q and path %q", list.Version, host, c.request.URL.Path)
-		}
-		name = c.rule.Service()
+	if list.Rules.Len() == 0 {
+		return c.setService(host)
+	}
+	if c.rule = list.Rules.Match(host, c.request.URL.Path); c.rule == nil {
+		return failure.New(failure.UnknownRoute, failure.NotRun, "no rule of list %d matches host %q and path %q", list.Version, host, c.request.URL.Path)
 	}
+	return nil
+}
+
+// findService sets the service that the rule selects for the request.
+func (c *call) findService() *failure.Error {
+	if c.rule == nil {
+		return nil
+	}
+	return c.setService(c.rule.Service())
+}
+
+func (c *call) setService(name string) *failure.Error {
 	if c.service = c.snapshot.Service(name); c.service == nil {
 		return failure.New(failure.UnknownService, failure.NotRun, "the service list has no service %q", name)
 	}
@@ -156,7 +205,7 @@
 		return failure.New(failure.BadIdempotencyKey, failure.NotRun, "%s must be given once and hold 1 to %d bytes", wire.IdempotencyKey, maxKeyBytes)
 	}
 	if len(keys) == 1 && !c.idempotent {
-		c.key = keys[0]
+		c.key = wire.ScopedKey(c.tenantName(), keys[0])
 	}
 	return nil
 }
@@ -178,6 +227,14 @@
 	return failure.New(failure.DependencyForbidden, failure.NotRun, "service %q doesn't list %q in depends_on", own.Name, c.service.Name)
 }
 
+// tenantName returns the name of the call's tenant, or "".
+func (c *call) tenantName() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
 // remaining returns the time until the deadline; it is negative after that.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -115,10 +115,10 @@
 // serve handles one request. A keyed call may be relayed to the service's home region only if mayRelay is set.
 func (h *Handler) serve(w http.ResponseWriter, request *http.Request, mayRelay bool) {
 	h.config.Metrics.Counter("entry.calls").Inc(1)
-	c, failed := h.newCall(request)
+	c, failed := h.newCall(request, !mayRelay)
 	if failed != nil {
 		h.logRefusal(request, failed)
-		if failed.Reason == failure.NoServiceList && request.Header.Get(wire.IdempotencyKey) != "" {
+		if precedesKey(failed.Reason) && request.Header.Get(wire.IdempotencyKey) != "" {
 			failed = withUnknownOutcome(failed)
 		}
 		h.refuse(w, failed)
@@ -127,7 +127,19 @@
 	ctx, cancel := c.withDeadline()
 	defer cancel()
 	defer context.AfterFunc(h.stopped, cancel)()
-	h.respond(w, c, h.dispatch(ctx, c, mayRelay))
+	final := h.dispatch(ctx, c, mayRelay)
+	h.returnAllotment(c, final.failed)
+	h.respond(w, c, final)
+}
+
+// precedesKey reports whether a call is refused for this reason although an earlier call with the same Idempotency-Key may
+// have run: the refusal depends on the time, not on the call.
+func precedesKey(reason failure.Reason) bool {
+	switch reason {
+	case failure.NoServiceList, failure.KeysUnconfirmed, failure.UnknownKey, failure.AllotmentExceeded, failure.RegionNotAllowed:
+		return true
+	}
+	return false
 }
 
 // dispatch runs a call without a key from this node. A keyed call runs in the service's home region, to which it is
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -90,7 +90,7 @@
 			exclude = append(exclude, member.ID)
 		}
 	}
-	return k.policy.balancer.Pick(balance.Request{Exclude: exclude, Region: k.call.service.HomeRegion})
+	return k.policy.balancer.Pick(balance.Request{Exclude: exclude, Region: k.call.service.HomeRegion, Regions: k.call.regions})
 }
 
 // claimFailure returns the result of a call whose claim was refused. This call did not run, but an earlier call with the
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -19,10 +19,18 @@
 		return
 	}
 	_, kind := c.route()
-	klog.InfoS("request answered", "request", id, "service", c.service.Name, "kind", kind, "list", c.snapshot.List.Version,
+	klog.InfoS("request answered", c.withTenant("request", id, "service", c.service.Name, "kind", kind, "list", c.snapshot.List.Version,
 		"member", final.memberID, "sends", c.sends, "moves", len(c.movedFrom), "overflows", c.overflows,
 		"status", final.response.StatusCode,
-		"first_byte_after", final.latency.Round(time.Millisecond), "left", c.remaining().Round(time.Millisecond))
+		"first_byte_after", final.latency.Round(time.Millisecond), "left", c.remaining().Round(time.Millisecond))...)
+}
+
+// withTenant appends the name of the call's tenant, if it has one, to the fields of a log line.
+func (c *call) withTenant(fields ...any) []any {
+	if c.tenant != nil {
+		fields = append(fields, "tenant", c.tenant.Name)
+	}
+	return fields
 }
 
 // logAbort logs that the caller's connection is closed because the rest of an answer did not arrive, or because the caller
@@ -54,11 +62,11 @@
 // logFailure logs the failure that is returned to the caller.
 func (h *Handler) logFailure(c *call, failed *failure.Error) {
 	_, kind := c.route()
-	klog.InfoS("request failed", "request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name, "kind", kind,
+	klog.InfoS("request failed", c.withTenant("request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name, "kind", kind,
 		"list", c.snapshot.List.Version, "members", len(c.snapshot.Members[c.service.Name]), "sends", c.sends,
 		"moves", len(c.movedFrom), "overflows", c.overflows, "reached", c.reached, "not_repeated", c.retryDenial,
 		"reason", failed.Reason, "outcome", failed.Outcome, "detail", failed.Detail,
-		"left", c.remaining().Round(time.Millisecond))
+		"left", c.remaining().Round(time.Millisecond))...)
 }
 
 // logHedge logs that a slow call was also sent to a second member.
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -25,6 +25,8 @@
 	switch {
 	case h.stopped.Err() != nil || failed.Outcome != failure.NotRun || c.remaining() < minOverflowTime:
 		return false
+	case c.leavesRegion():
+		return false // its region has not refused it, and the others were tried as ordinary targets
 	case c.overflows >= maxOverflows || c.sends >= maxSends || !c.body.replayable():
 		return false
 	case !retryable(c, failed) || failed.Reason == failure.TargetShed || c.reached >= c.maxReached():
@@ -38,7 +40,7 @@
 
 // launchOverflow starts an attempt at a member of another region, which must refuse it unless a slot is free.
 func (h *Handler) launchOverflow(ctx context.Context, c *call, policy *Policy, results chan<- result) *failure.Error {
-	if failed := h.launchWith(ctx, c, policy, balance.Request{Exclude: c.tried, Overflow: true}, results); failed != nil {
+	if failed := h.launchWith(ctx, c, policy, balance.Request{Exclude: c.tried, Regions: c.regions, Overflow: true}, results); failed != nil {
 		return failed
 	}
 	c.overflows++
@@ -58,6 +60,6 @@
 // canOverflowEarly reports whether a call may be offered to another region before its own region has refused it: it has a
 // target latency that it can still meet there.
 func (h *Handler) canOverflowEarly(c *call, policy *Policy) bool {
-	return c.overflows == 0 && !c.pinned && c.key == "" && !c.softDeadline.IsZero() && c.softRemaining() >= minOverflowTime &&
-		c.sends < maxSends && c.body.replayable() && policy.balancer.CanOverflow()
+	return c.overflows == 0 && !c.pinned && !c.leavesRegion() && c.key == "" && !c.softDeadline.IsZero() && c.softRemaining() >= minOverflowTime &&
+		c.sends < maxSends && c.body.replayable() && policy.balancer.CanOverflow(c.regions)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -21,7 +21,7 @@
 	policy := h.config.Policies.For(c.service)
 	lastFailure := failure.New(failure.KeyOwnerUnreachable, failure.Unknown, "no node of region %q is known", c.service.HomeRegion)
 	for range maxRelays {
-		pick, err := policy.balancer.Pick(balance.Request{Exclude: c.tried, Region: c.service.HomeRegion})
+		pick, err := policy.balancer.Pick(balance.Request{Exclude: c.tried, Region: c.service.HomeRegion, Regions: c.regions})
 		if err != nil {
 			break
 		}
@@ -69,6 +69,9 @@
 	request.URL.Host = member.PeerAddr
 	prefixPath(request, wire.RelayPath)
 	prepareHeader(request.Header)
+	if c.tenant != nil {
+		request.Header.Set(wire.TenantName, c.tenant.Name)
+	}
 	request.Header.Set(wire.TimeoutMS, strconv.FormatInt(max(c.remaining().Milliseconds(), 1), 10))
 	c.body.attach(request, c.idempotent)
 	return request
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -21,6 +21,7 @@
 var internalHeaders = []string{
 	wire.Service, wire.AttemptHeader, wire.Incarnation, wire.Load, wire.Idempotent, wire.Link, wire.KeyOwner,
 	wire.RosterVersion, wire.NotAfter, wire.Rank, wire.Stay, wire.Overflow, wire.CanOverflow, wire.TargetStatus,
+	wire.TenantName,
 }
 
 // stream copies a node's response to the caller. When the response is truncated it aborts the caller's connection, so
@@ -87,6 +88,9 @@
 func (h *Handler) refuse(w http.ResponseWriter, failed *failure.Error) {
 	h.config.Metrics.CountRefusal("entry", failed.Reason)
 	header := w.Header()
+	if failed.Reason == failure.UnknownKey {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if h.config.WriteRefusal != nil {
 		w.WriteHeader(h.config.WriteRefusal(header, failed))
 		return
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -93,7 +93,7 @@
 
 // launch picks a member that was not tried yet and starts an attempt in the background, which sends its result to results.
 func (h *Handler) launch(ctx context.Context, c *call, policy *Policy, results chan<- result) *failure.Error {
-	return h.launchWith(ctx, c, policy, balance.Request{Exclude: c.tried}, results)
+	return h.launchWith(ctx, c, policy, balance.Request{Exclude: c.tried, Regions: c.regions}, results)
 }
 
 // launchWith is launch with the restrictions of request.
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -125,7 +125,7 @@
 		return notRun(failure.BadRequest, "the roster version is not a number")
 	}
 	forwarded.call.KeyInfo = &attempt.KeyInfo{
-		Key:           keys[0],
+		Key:           wire.ScopedKey(r.Header.Get(wire.TenantName), keys[0]),
 		Fingerprint:   wire.CallFingerprint(r.Method, forwarded.url.EscapedPath()),
 		Owner:         owner,
 		RosterVersion: version,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,8 @@
 		ReadAheadBytes:  readAheadBytes,
 		WriteRefusal:    adapter.WriteRefusal,
 		RequestIDHeader: adapter.RequestIDHeader(),
+
+		KeyWithdrawalBound: set.KeyWithdrawalBound,
 	})
 	n.target = &localTarget{node: n}
 	servers, err := n.listen()
--- a/internal/servicelist/parse.go
+++ b/internal/servicelist/parse.go
@@ -36,6 +36,9 @@
 	MaxQueue         = 100000
 	MaxBudgetPercent = 10
 	MaxHedgePercent  = 5
+	// MaxRate is the greatest rate in requests per second, and MaxBurst the greatest number of requests, of a tenant or target.
+	MaxRate  = 1e9
+	MaxBurst = 1e9
 	// MaxCallerHeaderBytes is the maximum that the listener accepts. MaxCallerBodyBytes keeps a mistyped limit from
 	// effectively being no limit.
 	MaxCallerHeaderBytes = 1 << 20
@@ -48,6 +51,7 @@
 	Measuring measuringText           `toml:"measuring"`
 	Services  map[string]*serviceText `toml:"services"`
 	Rules     []ruleText              `toml:"rules"`
+	Tenants   []tenantText            `toml:"tenants"`
 }
 
 type measuringText struct {
@@ -60,6 +64,7 @@
 	HomeRegion   *string     `toml:"home_region"`
 	Timeout      *string     `toml:"timeout"`
 	HealthPath   string      `toml:"health_path"`
+	ColdRate     float64     `toml:"cold_rate"`
 	ResendWindow *string     `toml:"resend_window"`
 	Idempotent   []routeText `toml:"idempotent"`
 	Limits       limitsText  `toml:"limits"`
@@ -88,6 +93,19 @@
 	Priority      int         `toml:"priority"`
 	MaxAttempts   *int        `toml:"max_attempts"`
 	Split         []shareText `toml:"split"`
+
+	Public         bool     `toml:"public"`
+	AllowedRegions []string `toml:"allowed_regions"`
+}
+
+type tenantText struct {
+	Name           string   `toml:"name"`
+	Keys           []string `toml:"keys"`
+	KeyDigests     []string `toml:"key_digests"`
+	Priority       *int     `toml:"priority"`
+	Rate           float64  `toml:"rate"`
+	Burst          float64  `toml:"burst"`
+	AllowedRegions []string `toml:"allowed_regions"`
 }
 
 type shareText struct {
@@ -125,6 +143,7 @@
 	}
 	list.CallerLimits = parseCallerLimits(document, decoded.Callers)
 	list.Rules = parseRules(document, list, decoded.Rules)
+	list.Tenants = parseTenants(document, decoded.Tenants)
 	checkList(document, list)
 	if problems := document.Problems(); len(problems) > 0 {
 		return nil, &Error{Problems: problems}
@@ -172,6 +191,9 @@
 	if text.HomeRegion != nil {
 		document.CheckLabel(key("home_region"), result.HomeRegion)
 	}
+	if result.ColdRate = text.ColdRate; !(result.ColdRate >= 0 && result.ColdRate <= MaxRate) {
+		document.Add(tomlcheck.OutOfRange, key("cold_rate"), "%v is out of range: must be 0 to %v", result.ColdRate, float64(MaxRate))
+	}
 	result.Timeout = document.ParseDuration(key("timeout"), text.Timeout, DefaultTimeout, MinTimeout, MaxTimeout)
 	result.ResendWindow = document.ParseDuration(key("resend_window"), text.ResendWindow, DefaultResendWindow, MinResendWindow, MaxResendWindow)
 	result.Idempotent = parseRoutes(document, key("idempotent"), text.Idempotent)
--- a/internal/servicelist/rules.go
+++ b/internal/servicelist/rules.go
@@ -143,7 +143,9 @@
 			TargetLatency: document.ParseDuration(childKey(key, "target_latency"), text.TargetLatency, 0, MinTimeout, MaxTimeout),
 			Priority:      text.Priority,
 			MaxAttempts:   valueOr(text.MaxAttempts, DefaultMaxAttempts),
+			Public:        text.Public,
 		}
+		rule.AllowedRegions = parseRegions(document, childKey(key, "allowed_regions"), text.AllowedRegions)
 		if rule.Name == "" || rule.Host == "" {
 			document.Add(tomlcheck.Missing, key, "a rule must have a name and a host: got name %q and host %q", rule.Name, rule.Host)
 		}
--- a/internal/servicelist/tenants.go
+++ b/internal/servicelist/tenants.go
@@ -1,12 +1,18 @@
 package servicelist
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"strings"
+)
 
 // Tenant is an organization whose callers identify themselves with API keys. It is immutable.
 type Tenant struct {
 	Name string
-	// Priority replaces the priority of the rule for the tenant's requests.
-	Priority int
+	// Priority replaces the priority of the rule for the tenant's requests, unless InheritPriority is set.
+	Priority        int
+	InheritPriority bool
 	// Rate and Burst are the allotment of the tenant over all nodes: requests per second, and the requests that an unused
 	// allotment saves up. A Rate of 0 means no limit.
 	Rate, Burst float64
@@ -53,3 +59,71 @@
 		}
 	}
 }
+
+// TenantSetBuilder collects tenants and their keys for a TenantSet. The zero value is empty. Its errors contain no key.
+type TenantSetBuilder struct {
+	byKey  map[KeyDigest]*Tenant
+	byName map[string]*Tenant
+}
+
+// Add adds a tenant. It fails if the name is not a token or is taken.
+func (b *TenantSetBuilder) Add(tenant *Tenant) error {
+	if !isToken(tenant.Name) {
+		return fmt.Errorf("%q is not a token of 1 to %d characters", tenant.Name, maxTenantName)
+	}
+	if b.byName[tenant.Name] != nil {
+		return fmt.Errorf("the tenant %q occurs twice", tenant.Name)
+	}
+	if b.byName == nil {
+		b.byName = map[string]*Tenant{}
+	}
+	b.byName[tenant.Name] = tenant
+	return nil
+}
+
+// AddKey adds an API key of a tenant. It fails if the key is empty, can't be sent in a header, or is held by another tenant.
+func (b *TenantSetBuilder) AddKey(tenant *Tenant, key string) error {
+	switch {
+	case key == "":
+		return errors.New("the key is empty")
+	case len(key) > maxKeyBytes || strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' }):
+		return fmt.Errorf("the key does not consist of 1 to %d visible ASCII characters without commas", maxKeyBytes)
+	}
+	return b.AddDigest(tenant, DigestKey(key))
+}
+
+// AddDigest adds the digest of an API key of a tenant. It fails if the key is held by another tenant.
+func (b *TenantSetBuilder) AddDigest(tenant *Tenant, digest KeyDigest) error {
+	if holder := b.byKey[digest]; holder != nil && holder != tenant {
+		return fmt.Errorf("the key is also held by tenant %q", holder.Name)
+	}
+	if b.byKey == nil {
+		b.byKey = map[KeyDigest]*Tenant{}
+	}
+	b.byKey[digest] = tenant
+	return nil
+}
+
+// Set returns the index of the tenants that were added.
+func (b *TenantSetBuilder) Set() TenantSet { return TenantSet(*b) }
+
+const (
+	maxTenantName = 128  // in bytes; the name is sent in a header with each request
+	maxKeyBytes   = 4096 // far above the length of keys in use
+)
+
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2) of at most maxTenantName characters.
+func isToken(text string) bool {
+	if text == "" || len(text) > maxTenantName {
+		return false
+	}
+	for _, char := range []byte(text) {
+		switch {
+		case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
+		case strings.IndexByte("!#$%&'*+-.^_`|~", char) >= 0:
+		default:
+			return false
+		}
+	}
+	return true
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,9 @@
 	// LinkMbps is the bandwidth of the machine's network link in Mbit/s; 0 if unknown. In each zone, the node with the
 	// highest bandwidth reads the store for the others. PlatformRows only.
 	LinkMbps float64
+	// Regions are the regions of all nodes, this one's included; empty: not known. Entries of the service list that name other
+	// regions are rejected. PlatformRows only.
+	Regions []string
 	// KeyWithdrawalBound is the time after which an API key that the operators withdrew must not be accepted any more, also
 	// at nodes that can't read the store. PlatformRows only; 0: no bound.
 	KeyWithdrawalBound time.Duration
@@ -115,6 +118,7 @@
 	RetrySlack               int      `toml:"retry_slack"`
 	LinkMbps                 float64  `toml:"link_mbps"`
 	KeyWithdrawalBound       *string  `toml:"key_withdrawal_bound"`
+	Regions                  []string `toml:"regions"`
 	DrainTimeout             *string  `toml:"drain_timeout"`
 	TargetConnectTimeout     *string  `toml:"target_connect_timeout"`
 	TargetHealthInterval     *string  `toml:"target_health_interval"`
@@ -160,6 +164,7 @@
 		PeerAdvertiseAddr: text.PeerAdvertiseAddr,
 		RetrySlack:        text.RetrySlack,
 		LinkMbps:          text.LinkMbps,
+		Regions:           uniqueSorted(text.Regions),
 	}
 	if text.Name != nil {
 		loaded.Name = *text.Name
@@ -278,11 +283,24 @@
 		document.CheckLabel(tomlcheck.Key{"entry_services"}, service)
 		checkUnique(document, "entry_services", loaded.EntryServices, i)
 	}
+	for _, region := range loaded.Regions {
+		document.CheckLabel(tomlcheck.Key{"regions"}, region)
+	}
+	if len(loaded.Regions) > 0 && !slices.Contains(loaded.Regions, loaded.Region) {
+		document.Add(tomlcheck.Missing, tomlcheck.Key{"regions"}, "the node's own region %q is missing", loaded.Region)
+	}
 	if path := loaded.TargetHealthPath; path != "" && !strings.HasPrefix(path, "/") {
 		document.Add(tomlcheck.BadRoute, tomlcheck.Key{"target_health_path"}, "%q does not start with \"/\"", path)
 	}
 }
 
+// uniqueSorted returns the values sorted and without repetitions: a platform may list the region of each zone.
+func uniqueSorted(values []string) []string {
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
 // checkUnique adds a problem if values[i] equals an earlier value.
 func checkUnique(document *tomlcheck.Document, key string, values []string, i int) {
 	if slices.Contains(values[:i], values[i]) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,6 +40,8 @@
 entry_services = ["inventory"]
 target_health_path = "/healthz"
 drain_timeout = "1m"
+regions = ["sanjose", "guanacaste", "sanjose"]
+key_withdrawal_bound = "5s"
 `))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, loaded, &Settings{
@@ -47,6 +49,7 @@
 		EntryAddr: "0.0.0.0:8080", PeerAddr: "127.0.0.1:8081", AdminAddr: "127.0.0.1:8082",
 		TargetAddr: "127.0.0.1:8083", TargetHealthPath: "/healthz", PlatformAddr: "127.0.0.1:9000",
 		Seeds: []string{"127.0.0.2:8081", "[::1]:8081"}, EntryServices: []string{"inventory"},
+		Regions: []string{"guanacaste", "sanjose"}, KeyWithdrawalBound: 5 * time.Second,
 		DrainTimeout: time.Minute, TargetConnectTimeout: time.Second, TargetHealthInterval: time.Second,
 		PlatformTryTimeout: time.Second, PlatformOperationTimeout: 15 * time.Second,
 	})
@@ -88,6 +91,9 @@
 		{`target_health_interval = "0s"`, tomlcheck.OutOfRange},
 		{`platform_try_timeout = "1ms"`, tomlcheck.OutOfRange},
 		{`platform_operation_timeout = "10m"`, tomlcheck.OutOfRange},
+		{`key_withdrawal_bound = "0s"`, tomlcheck.OutOfRange},
+		{`regions = ["sanjose", "San Jose"]`, tomlcheck.BadName},
+		{`regions = ["guanacaste"]`, tomlcheck.Missing},
 		{`colour = "red"`, tomlcheck.UnknownKey},
 		{`zone = `, tomlcheck.Syntax},
 	}
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -84,6 +84,7 @@
 		{"target_connect_timeout", old.TargetConnectTimeout.String(), s.TargetConnectTimeout.String()},
 		{"target_health_interval", old.TargetHealthInterval.String(), s.TargetHealthInterval.String()},
 		{"platform_addr", old.PlatformAddr, s.PlatformAddr},
+		{"key_withdrawal_bound", old.KeyWithdrawalBound.String(), s.KeyWithdrawalBound.String()},
 		{"platform_try_timeout", old.PlatformTryTimeout.String(), s.PlatformTryTimeout.String()},
 		{"platform_operation_timeout", old.PlatformOperationTimeout.String(), s.PlatformOperationTimeout.String()},
 	} {
--- a/internal/tomlcheck/classify.go
+++ b/internal/tomlcheck/classify.go
@@ -19,6 +19,8 @@
 var tomlTypes = map[string]string{
 	"int":      "an integer",
 	"*int":     "an integer",
+	"float64":  "a number",
+	"bool":     "true or false",
 	"string":   "a string",
 	"*string":  "a string",
 	"[]string": "an array of strings",
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -81,6 +81,15 @@
 	return sum[:16]
 }
 
+// ScopedKey returns the key under which an Idempotency-Key is claimed: keys of different tenants are different keys. The
+// tenant's name is empty for callers without one.
+func ScopedKey(tenant, key string) string {
+	if tenant == "" {
+		return key
+	}
+	return tenant + "\x00" + key // no header value contains NUL
+}
+
 // AttemptID identifies one send of a request to one target.
 type AttemptID [16]byte
 
