--- /dev/null
+++ b/internal/allotment/state.go
@@ -0,0 +1,521 @@
+package allotment
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/membership"
+	"github.com/acacialock/acacialock/internal/servicelist"
+)
+
+const (
+	// accountInterval is the time between two computations of the limits.
+	accountInterval = 100 * time.Millisecond
+	// settleTime is the time after this node began to keep accounts in which new accounts are empty, since it doesn't know
+	// what was spent before.
+	settleTime = 5 * time.Second
+	// minPartNodes is the part of all nodes from which those that are cut off together get extraRate and extraBurst of each
+	// tenant beyond their part, in requests per second and requests. They even out chance for small tenants; at most four
+	// such parts exist, which stay within the 20 requests by which the allotment may be exceeded in 5 s.
+	minPartNodes = 0.2
+	extraRate    = 0.5
+	extraBurst   = 2.0
+	// maxAnswerRows bounds the limited tenants in an answer; those with the lowest fraction go first.
+	maxAnswerRows = 1000
+	// minAvoidTime is the time for which a node isn't asked that did not answer, and maxAvoidTime the one after repeated
+	// failures.
+	minAvoidTime = 2 * time.Second
+	maxAvoidTime = 15 * time.Second
+)
+
+// sender is a node that reports to this one.
+type sender struct {
+	boot    uint64
+	number  uint64
+	nodes   int
+	scope   scope
+	validTo time.Duration
+}
+
+// avoidance is a node that did not answer.
+type avoidance struct {
+	until    time.Duration
+	failures int
+}
+
+// state decides for one node which requests the allotments admit. All times are those of a clock that counts on while the
+// machine is suspended. It is not safe for concurrent use and does no I/O.
+//
+// The counts of all nodes meet in the accounts of the best node of each region. If this node has a parent that answers, it
+// passes on its counts and obeys the limits of the answers. Otherwise it keeps accounts itself, with the part of the
+// allotments that corresponds to the part of all nodes that report to it.
+type state struct {
+	name   string
+	boot   uint64
+	random func() float64 // in [0, 1)
+
+	tenants   map[tenantID]*servicelist.Tenant // those with a rate
+	hierarchy membership.Hierarchy
+	size      int // number of nodes in the system, this one included
+
+	gates   map[tenantID]*gate
+	senders map[string]*sender
+	avoided map[string]avoidance // by peer address
+
+	parent *link
+	scope  scope            // of the parent's confirmed link
+	peers  map[string]*link // to other regions' best nodes, by their region
+	limits map[tenantID]limit
+	hotTo  time.Duration // time until which this node counts as hot
+
+	accounts     map[tenantID]*account // nil while the parent keeps them
+	keepingSince time.Duration
+	computedAt   time.Duration
+	debts        map[tenantID]float64 // tokens that the former keeper of the accounts stated, below 0
+	sweptAt      time.Duration
+
+	events    []limitChange
+	changes   int64 // of the node that keeps this node's accounts
+	fallbacks int64 // times that this node began to keep accounts without others
+}
+
+func newState(name string, boot uint64, random func() float64) *state {
+	return &state{
+		name: name, boot: boot, random: random,
+		tenants: map[tenantID]*servicelist.Tenant{}, size: 1,
+		gates: map[tenantID]*gate{}, senders: map[string]*sender{}, avoided: map[string]avoidance{},
+		parent: newLink(), peers: map[string]*link{}, limits: map[tenantID]limit{},
+	}
+}
+
+// memberName returns the name of the node of a member, which stays the same over restarts.
+func memberName(id string) string {
+	name, _, _ := strings.Cut(id, "@")
+	return name
+}
+
+// configure sets the tenants and the members.
+func (s *state) configure(tenants map[tenantID]*servicelist.Tenant, members []cluster.Member, self cluster.Member) {
+	s.tenants, s.hierarchy = tenants, membership.NewHierarchy(members, self)
+	names := map[string]bool{s.name: true}
+	for _, member := range members {
+		if !member.Draining {
+			names[memberName(member.ID)] = true
+		}
+	}
+	s.size = len(names)
+	for tenant := range s.gates {
+		if tenants[tenant] == nil {
+			delete(s.gates, tenant)
+		}
+	}
+	for tenant := range s.accounts {
+		if tenants[tenant] == nil {
+			delete(s.accounts, tenant)
+		}
+	}
+}
+
+// admit takes a request of the tenant at this node.
+func (s *state) admit(id tenantID, tenant *servicelist.Tenant, now time.Duration) (retryAfter time.Duration, ok bool) {
+	s.settle(now)
+	g := s.gates[id]
+	if g == nil {
+		tokens := burst(tenant, s.part())
+		if s.alone() {
+			tokens = 1 // all nodes of the system may have restarted at once
+		}
+		g = newGate(tokens, s.random(), now)
+		s.gates[id] = g
+	}
+	var limited *limit
+	if found, ok := s.limits[id]; ok && !s.alone() {
+		limited = &found
+		s.hotTo = now + time.Second
+	}
+	retryAfter, ok = g.admit(tenant, s.part(), limited, now)
+	t := tally{requested: 1}
+	switch {
+	case ok:
+		t.admitted = 1
+	case g.refused == 1:
+		s.record(limitChange{tenant: tenant.Name, limited: true, fallback: s.alone(), retryAfter: retryAfter})
+	}
+	s.count(id, t, scopeGroup, now)
+	return retryAfter, ok
+}
+
+// giveBack returns an admitted request of the tenant. It returns false if there is none to return.
+func (s *state) giveBack(id tenantID, tenant *servicelist.Tenant, now time.Duration) bool {
+	s.settle(now)
+	g := s.gates[id]
+	if g == nil || !g.giveBack(tenant, s.part()) {
+		return false
+	}
+	s.count(id, tally{admitted: -1}, scopeGroup, now)
+	return true
+}
+
+// limitChange is the moment at which a tenant starts or stops being refused at this node.
+type limitChange struct {
+	tenant     string
+	limited    bool
+	fallback   bool          // this node hears from no other one
+	retryAfter time.Duration // of the first refusal
+	refused    int64         // requests while it was limited
+}
+
+// maxEvents bounds the limitChanges between two calls of takeEvents.
+const maxEvents = 20
+
+func (s *state) record(event limitChange) {
+	if len(s.events) < maxEvents {
+		s.events = append(s.events, event)
+	}
+}
+
+// takeEvents returns the changes since the last call.
+func (s *state) takeEvents() []limitChange {
+	taken := s.events
+	s.events = nil
+	return taken
+}
+
+// limitedTenants returns the number of tenants that this node refused lately.
+func (s *state) limitedTenants() (sum int64) {
+	for _, g := range s.gates {
+		if g.refused > 0 {
+			sum++
+		}
+	}
+	return sum
+}
+
+// keeping reports whether this node keeps accounts.
+func (s *state) keeping() bool { return s.accounts != nil }
+
+// alone reports whether this node keeps accounts for no other node. Its gates then hold its part exactly.
+func (s *state) alone() bool {
+	return s.keeping() && s.size > 1 && s.nodes() == 1 && s.peerNodes() == 0
+}
+
+// part returns the part of the allotments that the nodes may use that this node knows to count together.
+func (s *state) part() float64 {
+	if !s.keeping() {
+		return 1
+	}
+	return min(1, float64(s.nodes()+s.peerNodes())/float64(s.size))
+}
+
+// nodes returns the number of nodes whose counts this node reports, and peerNodes that of the other regions' reports.
+func (s *state) nodes() int {
+	sum := 1
+	for _, from := range s.senders {
+		if from.scope != scopePeer {
+			sum += from.nodes
+		}
+	}
+	return sum
+}
+
+func (s *state) peerNodes() (sum int) {
+	for _, from := range s.senders {
+		if from.scope == scopePeer {
+			sum += from.nodes
+		}
+	}
+	return sum
+}
+
+// allotment returns the rate and the burst of the tenant that the accounts of this node may admit.
+func (s *state) allotment(tenant *servicelist.Tenant, part float64) (rate, saved float64) {
+	rate, saved = tenant.Rate*part, burst(tenant, part)
+	if part < 1 && part >= minPartNodes {
+		rate, saved = min(tenant.Rate, rate+extraRate), min(burst(tenant, 1), saved+extraBurst)
+	}
+	return rate, saved
+}
+
+// settle adapts the state to the time: senders and the parent may have fallen silent.
+func (s *state) settle(now time.Duration) {
+	for name, from := range s.senders {
+		if now >= from.validTo {
+			delete(s.senders, name)
+		}
+	}
+	switch fresh := s.parent.fresh(now); {
+	case fresh && s.keeping():
+		s.accounts, s.limits = nil, map[tenantID]limit{}
+		s.peers = map[string]*link{}
+		s.changes++
+	case !fresh && !s.keeping():
+		s.beginKeeping(now)
+	}
+	if s.keeping() {
+		s.compute(now)
+	}
+}
+
+// beginKeeping begins to keep accounts. They start with the debts that the former keeper stated.
+func (s *state) beginKeeping(now time.Duration) {
+	s.debts = map[tenantID]float64{}
+	for tenant, limited := range s.limits {
+		s.debts[tenant] = min(0, limited.tokens)
+	}
+	s.accounts, s.limits = map[tenantID]*account{}, map[tenantID]limit{}
+	s.keepingSince, s.computedAt = now, now
+	s.parent.forget()
+	s.parent.acked = false
+	s.changes++
+	if s.alone() {
+		s.fallbacks++
+		for id, g := range s.gates {
+			g.refill(s.tenants[id], s.part(), now)
+			g.tokens = min(g.tokens, 1)
+		}
+	}
+}
+
+// compute updates the accounts and the limits that follow from them.
+func (s *state) compute(now time.Duration) {
+	if now-s.computedAt < accountInterval {
+		return
+	}
+	s.computedAt = now
+	part := s.part()
+	clear(s.limits)
+	for id, a := range s.accounts {
+		rate, saved := s.allotment(s.tenants[id], part)
+		a.advance(rate, saved, now)
+		if fraction := a.fraction(rate); fraction < 1 {
+			s.limits[id] = limit{fraction, a.tokens}
+		}
+		if a.idle(saved) {
+			delete(s.accounts, id)
+		}
+	}
+}
+
+// count records counts of this node or of a sender with this scope.
+func (s *state) count(id tenantID, t tally, from scope, now time.Duration) {
+	tenant := s.tenants[id]
+	if tenant == nil || t == (tally{}) {
+		return // the list differs between nodes for a moment
+	}
+	usual := tenant.Rate * float64(s.nodes()) / float64(s.size)
+	if !s.keeping() {
+		s.parent.add(id, t, usual)
+		return
+	}
+	rate, saved := s.allotment(tenant, s.part())
+	a := s.accounts[id]
+	if a == nil {
+		a = &account{at: now}
+		if now-s.keepingSince < settleTime {
+			a.tokens = s.debts[id] * s.part()
+		} else {
+			a.tokens = saved
+		}
+		s.accounts[id] = a
+	}
+	a.advance(rate, saved, now)
+	a.count(t)
+	if from == scopePeer {
+		return
+	}
+	for _, peer := range s.peers {
+		peer.add(id, t, usual)
+	}
+}
+
+// receive applies a report. ok is false if the sender has to choose another receiver.
+func (s *state) receive(r *report, now time.Duration) (reply *answer, ok bool) {
+	s.settle(now)
+	// A node whose parent is in its group takes no reports, and one that has a parent only those of its group: nodes that
+	// know different members can't report to each other in a circle.
+	if !s.keeping() && (r.scope != scopeGroup || s.scope == scopeGroup) || r.from == s.name {
+		s.parent.urgent = true // this node's parent may have failed
+		return nil, false
+	}
+	from := s.senders[r.from]
+	if from == nil || from.boot != r.boot {
+		from = &sender{boot: r.boot}
+		s.senders[r.from] = from
+	}
+	from.nodes, from.scope, from.validTo = min(r.nodes, s.size), r.scope, now+lifetime(r.hot)
+	if r.number > from.number {
+		from.number = r.number
+		for _, row := range r.rows {
+			s.count(row.tenant, row.tally, r.scope, now)
+		}
+	}
+	if r.scope == scopePeer {
+		return &answer{}, true // it keeps accounts itself
+	}
+	return s.answer(), true
+}
+
+// answer returns the limits in force.
+func (s *state) answer() *answer {
+	a := &answer{}
+	for tenant, limited := range s.limits {
+		a.rows = append(a.rows, answerRow{tenant, limited})
+	}
+	if len(a.rows) > maxAnswerRows {
+		slices.SortFunc(a.rows, func(x, y answerRow) int {
+			switch {
+			case x.fraction < y.fraction:
+				return -1
+			case x.fraction > y.fraction:
+				return 1
+			}
+			return 0
+		})
+		a.rows = a.rows[:maxAnswerRows]
+	}
+	return a
+}
+
+// outgoing is a report to send.
+type outgoing struct {
+	link   *link
+	to     cluster.Member
+	report *report
+}
+
+// poll returns the reports that are due, and the time of the next call.
+func (s *state) poll(now time.Duration) (reports []outgoing, next time.Duration) {
+	s.settle(now)
+	s.sweep(now)
+	next = now + calmInterval
+	add := func(l *link, to cluster.Member, scope scope, interval time.Duration) {
+		switch due := l.dueAt(interval); {
+		case l.busy:
+		case now >= due:
+			header := report{from: s.name, boot: s.boot, scope: scope, hot: interval == hotInterval, nodes: s.nodes()}
+			reports = append(reports, outgoing{l, to, l.next(to, header, now)})
+			next = min(next, now+interval)
+		default:
+			next = min(next, due)
+		}
+	}
+	avoided := func(addr string) bool { return now < s.avoided[addr].until }
+	parent, regional, ok := s.hierarchy.Parent(avoided)
+	if ok {
+		scope := scopeGroup
+		if regional {
+			scope = scopeRegion
+		}
+		add(s.parent, parent, scope, s.interval(now))
+		return reports, next
+	}
+	if !s.keeping() { // the last parent failed a moment ago
+		s.parent.acked = false
+		s.settle(now)
+	}
+	for _, peer := range s.hierarchy.Peers(avoided) {
+		l := s.peers[peer.Region]
+		if l == nil {
+			l = newLink()
+			s.peers[peer.Region] = l
+		}
+		if !l.busy && !l.fresh(now) {
+			l.forget()
+		}
+		interval := calmInterval
+		if len(s.limits) > 0 {
+			interval = hotInterval
+		}
+		add(l, peer, scopePeer, interval)
+	}
+	return reports, next
+}
+
+// interval returns the time between two reports to the parent.
+func (s *state) interval(now time.Duration) time.Duration {
+	switch {
+	case now < s.hotTo || len(s.senders) > 0 && len(s.limits) > 0:
+		return hotInterval
+	case len(s.senders) > 0:
+		return forwardInterval
+	}
+	return calmInterval
+}
+
+// answered applies the answer to a report.
+func (s *state) answered(sent outgoing, reply *answer, now time.Duration) {
+	delete(s.avoided, sent.to.PeerAddr)
+	if !sent.link.confirm(sent.report.number) || sent.link != s.parent {
+		return
+	}
+	s.settle(now)
+	if s.keeping() {
+		return // the answer came too late
+	}
+	s.scope = sent.report.scope
+	clear(s.limits)
+	for _, row := range reply.rows {
+		s.limits[row.tenant] = row.limit
+	}
+}
+
+// refused records that the receiver doesn't take reports from this node. While the last answer is valid, it is asked again:
+// it may not know yet that its own parent has failed.
+func (s *state) refused(sent outgoing, now time.Duration) {
+	if sent.link == s.parent && s.parent.fresh(now) {
+		sent.link.busy = false
+		return
+	}
+	s.failed(sent, now)
+}
+
+// failed records that a report was not answered.
+func (s *state) failed(sent outgoing, now time.Duration) {
+	sent.link.fail()
+	before := s.avoided[sent.to.PeerAddr]
+	wait := min(minAvoidTime<<min(before.failures, 4), maxAvoidTime)
+	s.avoided[sent.to.PeerAddr] = avoidance{now + wait, before.failures + 1}
+}
+
+// sweep drops what is not needed any more.
+func (s *state) sweep(now time.Duration) {
+	if now-s.sweptAt < time.Second {
+		return
+	}
+	s.sweptAt = now
+	for id, g := range s.gates {
+		if g.refused > 0 && now-g.refusedAt >= refusalPause {
+			s.record(limitChange{tenant: s.tenants[id].Name, refused: g.refused})
+			g.refused = 0
+		}
+		if now-g.lastAt >= gateIdleTime {
+			delete(s.gates, id)
+		}
+	}
+	for addr, avoidance := range s.avoided {
+		if now-avoidance.until > maxAvoidTime {
+			delete(s.avoided, addr)
+		}
+	}
+	if now-s.keepingSince >= settleTime {
+		s.debts = nil
+	}
+}
+
+// idle reports whether there is nothing to count.
+func (s *state) idle() bool { return len(s.tenants) == 0 }
+
+// urgent reports whether a report is due before the time that poll returned.
+func (s *state) urgent() bool {
+	if s.parent.urgent && !s.parent.busy {
+		return true
+	}
+	for _, peer := range s.peers {
+		if peer.urgent && !peer.busy {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/acacialock/acacialock/internal/allotment"
 	"github.com/acacialock/acacialock/internal/budget"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/entry"
@@ -70,19 +71,20 @@
 // Node is the node of one target: it serves callers, forwards their requests to the nodes of the chosen targets, and
 // passes forwarded requests to the local target.
 type Node struct {
-	settings  *settings.Active
-	platform  Platform
-	self      cluster.Member // its ID lacks the number of the target's boot
-	view      *cluster.View
-	metrics   *telemetry.Registry
-	directory *membership.Directory
-	peers     *peerclient.Clients
-	transport *forward.Transport
-	policies  *entry.Policies
-	entry     *entry.Handler
-	target    *localTarget
-	servers   *serving.Servers
-	draining  atomic.Bool
+	settings   *settings.Active
+	platform   Platform
+	self       cluster.Member // its ID lacks the number of the target's boot
+	view       *cluster.View
+	metrics    *telemetry.Registry
+	directory  *membership.Directory
+	peers      *peerclient.Clients
+	transport  *forward.Transport
+	policies   *entry.Policies
+	allotments *allotment.Allotments
+	entry      *entry.Handler
+	target     *localTarget
+	servers    *serving.Servers
+	draining   atomic.Bool
 
 	reportedReadiness atomic.Pointer[string] // notReadyReason that was logged last
 }
@@ -112,6 +114,7 @@
 		StayInRegion: true,
 		ZoneCost:     crossZoneCost,
 	})
+	n.allotments = allotment.New(allotment.Config{Name: set.Name, View: n.view, Peers: n.peers.Pooled, Metrics: n.metrics})
 	n.entry = entry.New(entry.Config{
 		View:            n.view,
 		Transport:       n.transport,
@@ -121,6 +124,7 @@
 		ReadAheadBytes:  readAheadBytes,
 		WriteRefusal:    adapter.WriteRefusal,
 		RequestIDHeader: adapter.RequestIDHeader(),
+		Allotments:      n.allotments,
 	})
 	n.target = &localTarget{node: n}
 	servers, err := n.listen()
@@ -180,6 +184,7 @@
 	}
 	mux.HandleFunc("GET "+wire.StatePath, n.serveState)
 	mux.Handle("GET "+wire.FollowPath, n.directory.FollowHandler())
+	mux.Handle("POST "+wire.AllotmentPath, n.allotments.Handler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, wire.ForwardPath+"/") {
 			n.target.ServeHTTP(w, r)
@@ -208,7 +213,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	klog.InfoS("started", "node", n.self.ID, "service", n.self.Service, "zone", n.self.Zone, "region", n.self.Region,
 		"entry", n.settings.EntryAddr, "peer", n.settings.PeerAddr)
-	parts := []serving.Part{n.directory.Run, serving.Infallible(n.restoreTarget)}
+	parts := []serving.Part{n.directory.Run, serving.Infallible(n.restoreTarget), serving.Infallible(n.allotments.Run)}
 	return serving.Run(ctx, append(parts, n.servers.Parts()...), n.drain, n.close)
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -65,6 +65,9 @@
 // FollowPath is the path under which the node that reads the store for its zone streams the tables to the other nodes.
 const FollowPath = "/acacialock/v1/follow"
 
+// AllotmentPath is the path under which a node takes the reports of other nodes about the requests of tenants.
+const AllotmentPath = "/acacialock/v1/allotment"
+
 // StatePath is the path under which a node returns its cluster.NodeState to operators, in JSON.
 const StatePath = "/acacialock/v1/state"
 
