--- a/internal/allotment/account.go
+++ b/internal/allotment/account.go
@@ -28,6 +28,13 @@
 	// counts are known about a second late; shorter times would let the rate oscillate.
 	spendTime = 500 * time.Millisecond
 	debtTime  = time.Second
+	// admittedTime is the time constant of the rate of admitted requests, and reactionTime the time until a lower fraction
+	// holds at the nodes: what they admit until then beyond the rate is counted in advance.
+	admittedTime = 500 * time.Millisecond
+	reactionTime = 500 * time.Millisecond
+	// rateDeviations is the number of standard deviations by which the admitted requests must exceed the rate to be counted in
+	// advance.
+	rateDeviations = 2
 	// maxDebt bounds a debt, in seconds of the rate. The allotment is measured in windows of 5 s; older debts don't count.
 	maxDebt = 5.0
 	// minDemand is the demand in requests per second below which an account with all its tokens is dropped.
@@ -37,9 +44,10 @@
 // account is the token bucket of one tenant over all nodes that report, directly or through others, to the node that holds
 // it. Counts arrive after the fact, so the tokens can be negative. It is not safe for concurrent use.
 type account struct {
-	tokens float64
-	demand float64 // requests per second, admitted or not
-	at     time.Duration
+	tokens   float64
+	demand   float64 // requests per second, admitted or not
+	admitted float64 // admitted requests per second
+	at       time.Duration
 }
 
 // advance adds the tokens since the last call. rate is in requests per second; burst is the number of tokens that are saved.
@@ -47,6 +55,7 @@
 	if elapsed := now - a.at; elapsed > 0 {
 		a.tokens += rate * elapsed.Seconds()
 		a.demand *= math.Exp(-float64(elapsed) / float64(demandTime))
+		a.admitted *= math.Exp(-float64(elapsed) / float64(admittedTime))
 		a.at = now
 	}
 	a.tokens = max(min(a.tokens, burst), -maxDebt*rate)
@@ -56,13 +65,16 @@
 func (a *account) count(t tally) {
 	a.tokens -= float64(t.admitted)
 	a.demand += float64(t.requested) / demandTime.Seconds()
+	a.admitted = max(0, a.admitted+float64(t.admitted)/admittedTime.Seconds())
 }
 
 // fraction returns the part of the demand that the allotment admits: 1 if it admits all.
 func (a *account) fraction(rate float64) float64 {
-	budget := rate + a.tokens/spendTime.Seconds()
-	if a.tokens < 0 {
-		budget = rate + a.tokens/debtTime.Seconds()
+	expected := rate + rateDeviations*math.Sqrt(rate/admittedTime.Seconds())
+	tokens := a.tokens - max(0, a.admitted-expected)*reactionTime.Seconds()
+	budget := rate + tokens/spendTime.Seconds()
+	if tokens < 0 {
+		budget = rate + tokens/debtTime.Seconds()
 	}
 	switch {
 	case budget <= 0:
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -195,10 +195,14 @@
 func (a *Allotments) send(ctx context.Context, sent outgoing) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	if sent.link == nil {
+		a.sendLimits(ctx, sent)
+		return
+	}
 	body := sent.report.encode()
 	a.config.Metrics.Counter("allotment.reports").Inc(1)
 	a.config.Metrics.Counter("allotment.report_bytes").Inc(int64(len(body)))
-	reply, err := a.exchange(ctx, sent.to.PeerAddr, body)
+	reply, err := a.exchange(ctx, sent.addr+wire.AllotmentPath, body)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch now := sinceBoot(); {
@@ -213,9 +217,18 @@
 	a.signal()
 }
 
-// exchange sends an encoded report to a node and returns the answer.
-func (a *Allotments) exchange(ctx context.Context, addr string, body []byte) (*answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+wire.AllotmentPath, bytes.NewReader(body))
+// sendLimits sends limits to a node that reports to this one. If they don't arrive, the node learns them with the answer to
+// its next report.
+func (a *Allotments) sendLimits(ctx context.Context, sent outgoing) {
+	a.config.Metrics.Counter("allotment.pushes").Inc(1)
+	if _, err := a.exchange(ctx, sent.addr+wire.AllotmentLimitsPath, sent.limits.encode()); err != nil {
+		a.config.Metrics.Counter("allotment.pushes_failed").Inc(1)
+	}
+}
+
+// exchange sends an encoded message to a URL without scheme and returns the answer.
+func (a *Allotments) exchange(ctx context.Context, url string, body []byte) (*answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -239,34 +252,42 @@
 	return decodeAnswer(data)
 }
 
-// Handler returns the handler of wire.AllotmentPath, which takes the reports of other nodes. It responds with 400 to a
-// report that can't be decoded, and with 409 if the sender has to choose another receiver.
+// Handler returns the handler of wire.AllotmentPath, which takes the reports of other nodes, and of wire.AllotmentLimitsPath,
+// which takes the limits from the node to which this one reports. It responds with 400 to a message that can't be decoded,
+// and with 409 to a report whose sender has to choose another receiver.
 func (a *Allotments) Handler() http.Handler {
-	return http.MaxBytesHandler(http.HandlerFunc(a.serveReport), maxMessageBytes)
+	return http.MaxBytesHandler(http.HandlerFunc(a.serveMessage), maxMessageBytes)
 }
 
-func (a *Allotments) serveReport(w http.ResponseWriter, request *http.Request) {
+func (a *Allotments) serveMessage(w http.ResponseWriter, request *http.Request) {
 	data, err := io.ReadAll(request.Body)
 	if err != nil {
-		http.Error(w, "the report can't be read", http.StatusBadRequest)
+		http.Error(w, "the message can't be read", http.StatusBadRequest)
 		return
 	}
-	received, err := decodeReport(data)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	receive := a.receive
+	if request.URL.Path == wire.AllotmentLimitsPath {
+		receive = a.receiveLimits
 	}
+	reply, err := receive(data)
 	header := w.Header()
 	header["Date"], header["Content-Type"] = nil, nil // each byte between regions is billed
-	reply, ok := a.receive(received)
-	if !ok {
+	switch {
+	case errors.Is(err, errRefused):
 		w.WriteHeader(http.StatusConflict)
-		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		_, _ = w.Write(reply.encode()) // the sender notices if it doesn't arrive
 	}
-	_, _ = w.Write(reply.encode()) // the sender notices if it doesn't arrive
 }
 
-func (a *Allotments) receive(received *report) (*answer, bool) {
+// receive applies an encoded report.
+func (a *Allotments) receive(data []byte) (*answer, error) {
+	received, err := decodeReport(data)
+	if err != nil {
+		return nil, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh()
@@ -274,5 +295,24 @@
 	if a.state.urgent() {
 		a.signal()
 	}
-	return reply, ok
+	if !ok {
+		return nil, errRefused
+	}
+	return reply, nil
+}
+
+// receiveLimits applies an encoded push.
+func (a *Allotments) receiveLimits(data []byte) (*answer, error) {
+	told, err := decodePush(data)
+	if err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refresh()
+	a.state.receivePush(told, sinceBoot())
+	if a.state.urgent() {
+		a.signal()
+	}
+	return &answer{}, nil
 }
--- a/internal/allotment/gate.go
+++ b/internal/allotment/gate.go
@@ -21,6 +21,7 @@
 type limit struct {
 	fraction float64 // part of the demand that is admitted, below 1
 	tokens   float64 // tokens of the account; negative: debt
+	demand   float64 // requests per second over all nodes
 }
 
 // gate admits the requests of one tenant at one node. It has a bucket of its own, so that no node admits more than the
--- a/internal/allotment/link.go
+++ b/internal/allotment/link.go
@@ -1,9 +1,8 @@
 package allotment
 
 import (
+	"math"
 	"time"
-
-	"github.com/acacialock/acacialock/internal/cluster"
 )
 
 const (
@@ -19,9 +18,17 @@
 	// together they may admit more: with half of the nodes cut off, rate x lifetime / 2.
 	calmLifetime = 2500 * time.Millisecond
 	hotLifetime  = 1200 * time.Millisecond
+	// overdueTime is the time after which an unanswered report makes a node careful with tenants whose demand has risen.
+	overdueTime = 300 * time.Millisecond
 	// minUrgent is the number of requests of a tenant since the last report from which the next one is urgent, unless its
 	// usual demand brings more.
-	minUrgent = 3
+	minUrgent = 2
+	// alertTime is the time after an urgent report in which reports follow each other like those of a hot node.
+	alertTime = 300 * time.Millisecond
+	// urgentDeviations is the number of standard deviations by which the requests since the last report must exceed those of a
+	// tenant that uses the part usualLoad of its rate.
+	urgentDeviations = 2.5
+	usualLoad        = 0.8
 	// maxRetained bounds the tenants whose counts wait for a report.
 	maxRetained = maxRows / 2
 )
@@ -39,39 +46,59 @@
 type link struct {
 	pending  map[tenantID]tally // counts that no report holds yet
 	unacked  *report            // sent, but not known to be received
-	to       cluster.Member     // the receiver of unacked
 	number   uint64             // of the last report
 	busy     bool               // a report is on its way
 	urgent   bool               // the next report is due after urgentInterval
 	sentAt   time.Duration      // of the last report
 	ackedAt  time.Duration      // when the last report was sent that was answered
 	acked    bool               // a report was answered, and ackedAt is valid
+	suspect  bool               // the last report failed
+	alertTo  time.Duration      // end of the alertTime
 	hot      bool               // as announced by the last report
 	ackedHot bool               // as announced by the last report that was answered
 }
 
 func newLink() *link { return &link{pending: map[tenantID]tally{}, sentAt: -calmInterval} }
 
-// add adds counts to the next report. usual is the number of requests from which the report is urgent.
-func (l *link) add(tenant tenantID, t tally, usual float64) {
+// add adds counts to the next report. usual is the tenant's rate that the nodes of the report may use if all use the same; a
+// report with clearly more requests is urgent.
+func (l *link) add(tenant tenantID, t tally, usual float64, now time.Duration) {
 	sum, known := l.pending[tenant]
 	if !known && len(l.pending) >= maxRetained {
 		return
 	}
 	sum = sum.plus(t)
 	l.pending[tenant] = sum
-	if float64(sum.requested) >= max(minUrgent, usual) {
+	if l.excessive(tenant, usual, now) {
 		l.urgent = true
 	}
 }
 
-// fresh reports whether the receiver counts this node as connected.
-func (l *link) fresh(now time.Duration) bool { return l.acked && now-l.ackedAt < lifetime(l.ackedHot) }
+// excessive reports whether clearly more requests of the tenant came since the last report than a tenant brings that uses
+// the part usualLoad of its rate.
+func (l *link) excessive(tenant tenantID, usual float64, now time.Duration) bool {
+	expected := usual * usualLoad * (now - l.sentAt).Seconds()
+	return float64(l.pending[tenant].requested) >= max(minUrgent, expected+urgentDeviations*math.Sqrt(expected)+1)
+}
+
+// counted reports whether the receiver counts this node as connected.
+func (l *link) counted(now time.Duration) bool {
+	return l.acked && now-l.ackedAt < lifetime(l.ackedHot)
+}
+
+// fresh reports whether the receiver counts this node as connected and the last report didn't fail.
+func (l *link) fresh(now time.Duration) bool { return l.counted(now) && !l.suspect }
+
+// overdue reports whether the answer to a report takes so long that the receiver is likely to be unreachable.
+func (l *link) overdue(now time.Duration) bool { return l.busy && now-l.sentAt >= overdueTime }
 
 // dueAt returns the time of the next report; interval is that of a report that isn't urgent.
 func (l *link) dueAt(interval time.Duration) time.Duration {
-	if l.urgent {
+	switch {
+	case l.urgent:
 		interval = min(interval, urgentInterval)
+	case l.sentAt < l.alertTo:
+		interval = min(interval, hotInterval)
 	}
 	return l.sentAt + interval
 }
@@ -82,13 +109,16 @@
 	l.unacked, l.urgent = nil, false
 }
 
-// next returns the report to send to the receiver: the last one again if it was not answered.
-func (l *link) next(to cluster.Member, header report, now time.Duration) *report {
+// next returns the report to send: the last one again if it was not answered.
+func (l *link) next(header report, now time.Duration) *report {
+	if l.urgent {
+		l.alertTo = now + alertTime
+	}
 	l.busy, l.sentAt, l.hot, l.urgent = true, now, header.hot, false
 	if l.unacked != nil {
 		again := header
 		again.number, again.rows = l.unacked.number, l.unacked.rows
-		l.unacked, l.to = &again, to
+		l.unacked = &again
 		return &again
 	}
 	l.number++
@@ -97,7 +127,7 @@
 		header.rows = append(header.rows, reportRow{tenant, sum})
 	}
 	clear(l.pending)
-	l.unacked, l.to = &header, to
+	l.unacked = &header
 	return &header
 }
 
@@ -107,6 +137,7 @@
 	if l.unacked == nil || l.unacked.number != number {
 		return false
 	}
+	l.suspect = false
 	l.unacked, l.acked, l.ackedAt, l.ackedHot = nil, true, l.sentAt, l.hot
 	return true
 }
--- a/internal/allotment/message.go
+++ b/internal/allotment/message.go
@@ -38,6 +38,12 @@
 	tally
 }
 
+// push tells limits to a node that reports to the sender.
+type push struct {
+	from string // name of the node
+	answer
+}
+
 // answer holds the tenants whose demand is not admitted as a whole.
 type answer struct {
 	rows []answerRow
@@ -96,13 +102,36 @@
 	return r, nil
 }
 
-func (a *answer) encode() []byte {
-	out := append(make([]byte, 0, 8+16*len(a.rows)), messageFormat)
+func (p *push) encode() []byte {
+	out := binary.AppendUvarint([]byte{messageFormat}, uint64(len(p.from)))
+	return p.answer.append(append(out, p.from...))
+}
+
+func decodePush(data []byte) (*push, error) {
+	d := decoder{data: data}
+	format := d.byte()
+	p := &push{from: string(d.bytes(d.uvarint()))}
+	if d.failed || format != messageFormat {
+		return nil, errMalformed
+	}
+	stated, err := decodeAnswer(d.data)
+	if err != nil {
+		return nil, err
+	}
+	p.answer = *stated
+	return p, nil
+}
+
+func (a *answer) encode() []byte { return a.append(nil) }
+
+func (a *answer) append(out []byte) []byte {
+	out = append(out, messageFormat)
 	out = binary.AppendUvarint(out, uint64(len(a.rows)))
 	for _, row := range a.rows {
 		out = binary.LittleEndian.AppendUint64(out, uint64(row.tenant))
 		out = binary.LittleEndian.AppendUint16(out, uint16(row.fraction*fractionUnits))
 		out = binary.AppendVarint(out, int64(math.Floor(row.tokens)))
+		out = binary.AppendUvarint(out, uint64(row.demand))
 	}
 	return out
 }
@@ -115,7 +144,9 @@
 	}
 	a := &answer{}
 	for range rows {
-		row := answerRow{tenantID(d.uint64()), limit{fraction: float64(d.uint16()) / fractionUnits, tokens: float64(d.varint())}}
+		row := answerRow{tenant: tenantID(d.uint64())}
+		row.fraction = float64(d.uint16()) / fractionUnits
+		row.tokens, row.demand = float64(d.varint()), float64(d.uvarint())
 		if d.failed {
 			return nil, errMalformed
 		}
--- a/internal/allotment/simulation_test.go
+++ b/internal/allotment/simulation_test.go
@@ -145,11 +145,41 @@
 	n := s.nodes[i]
 	reports, next := n.state.poll(s.clock(n))
 	for _, sent := range reports {
-		s.send(i, sent)
+		if sent.link == nil {
+			s.push(i, sent)
+		} else {
+			s.send(i, sent)
+		}
 	}
 	return next
 }
 
+func (s *simulation) push(i int, sent outgoing) {
+	from, j := s.nodes[i], 0
+	_, _ = fmt.Sscanf(sent.addr, "n%d:", &j)
+	to, body := s.nodes[j], sent.limits.encode()
+	if s.random.Float64() < s.loss {
+		return
+	}
+	s.after(s.latency(from, to), func() {
+		if from.side != to.side || to.dead {
+			return
+		}
+		s.meter(from, to, len(body))
+		s.meter(to, from, 0)
+		s.whenRunning(j, to.boots, func(to *simNode) {
+			told, err := decodePush(body)
+			if err != nil {
+				panic(err)
+			}
+			to.state.receivePush(told, s.clock(to))
+			if to.state.urgent() {
+				s.exchange(j)
+			}
+		})
+	})
+}
+
 func (s *simulation) latency(a, b *simNode) time.Duration {
 	base := 2 * time.Millisecond
 	if a.member.Region != b.member.Region {
@@ -183,7 +213,7 @@
 	fail := func() { finish(func(n *simNode) { n.state.failed(sent, s.clock(n)) }) }
 	s.after(reportTimeout, fail)
 	var j int
-	_, _ = fmt.Sscanf(sent.to.ID, "n%d@", &j)
+	_, _ = fmt.Sscanf(sent.addr, "n%d:", &j)
 	to, body := s.nodes[j], sent.report.encode()
 	deliver := func() {
 		if from.side != to.side {
@@ -200,6 +230,9 @@
 				panic(err)
 			}
 			reply, ok := to.state.receive(received, s.clock(to))
+			if to.state.urgent() {
+				s.exchange(j)
+			}
 			var data []byte
 			if ok {
 				data = reply.encode()
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -22,6 +22,13 @@
 	minPartNodes = 0.2
 	extraRate    = 0.5
 	extraBurst   = 2.0
+	// slackBurst is the number of requests that are saved up beyond the burst, so that chance doesn't let usual traffic of a
+	// small tenant be refused.
+	slackBurst = 7.0
+	// pushFactor is the part of the fraction known to the nodes below which a lower one is sent to them at once, and
+	// pushInterval the least time between two such messages.
+	pushFactor   = 0.7
+	pushInterval = 200 * time.Millisecond
 	// maxAnswerRows bounds the limited tenants in an answer; those with the lowest fraction go first.
 	maxAnswerRows = 1000
 	// minAvoidTime is the time for which a node isn't asked that did not answer, and maxAvoidTime the one after repeated
@@ -64,18 +71,23 @@
 	senders map[string]*sender
 	avoided map[string]avoidance // by peer address
 
-	parent *link
-	scope  scope            // of the parent's confirmed link
-	peers  map[string]*link // to other regions' best nodes, by their region
-	limits map[tenantID]limit
-	hotTo  time.Duration // time until which this node counts as hot
+	parent     *link
+	scope      scope            // of the parent's confirmed link
+	parentName string           // of the node that answered last
+	peers      map[string]*link // to other regions' best nodes, by their region
+	limits     map[tenantID]limit
+	hotTo      time.Duration // time until which this node counts as hot
 
 	accounts     map[tenantID]*account // nil while the parent keeps them
 	keepingSince time.Duration
 	computedAt   time.Duration
-	debts        map[tenantID]float64 // tokens that the former keeper of the accounts stated, below 0
 	sweptAt      time.Duration
 
+	addrs    map[string]string    // peer addresses by name
+	pushed   map[tenantID]float64 // fractions that the senders know
+	pushDue  bool
+	pushedAt time.Duration
+
 	events    []limitChange
 	changes   int64 // of the node that keeps this node's accounts
 	fallbacks int64 // times that this node began to keep accounts without others
@@ -86,7 +98,7 @@
 		name: name, boot: boot, random: random,
 		tenants: map[tenantID]*servicelist.Tenant{}, size: 1,
 		gates: map[tenantID]*gate{}, senders: map[string]*sender{}, avoided: map[string]avoidance{},
-		parent: newLink(), peers: map[string]*link{}, limits: map[tenantID]limit{},
+		parent: newLink(), peers: map[string]*link{}, limits: map[tenantID]limit{}, pushed: map[tenantID]float64{},
 	}
 }
 
@@ -99,8 +111,10 @@
 // configure sets the tenants and the members.
 func (s *state) configure(tenants map[tenantID]*servicelist.Tenant, members []cluster.Member, self cluster.Member) {
 	s.tenants, s.hierarchy = tenants, membership.NewHierarchy(members, self)
+	s.addrs = make(map[string]string, len(members))
 	names := map[string]bool{s.name: true}
 	for _, member := range members {
+		s.addrs[memberName(member.ID)] = member.PeerAddr
 		if !member.Draining {
 			names[memberName(member.ID)] = true
 		}
@@ -135,7 +149,11 @@
 		limited = &found
 		s.hotTo = now + time.Second
 	}
-	retryAfter, ok = g.admit(tenant, s.part(), limited, now)
+	part := s.part()
+	if ownPart := s.ownPart(); !s.keeping() && s.parent.overdue(now) && s.parent.excessive(id, tenant.Rate*ownPart, now) {
+		part = ownPart // the node is likely to be cut off, and the demand of the tenant has risen
+	}
+	retryAfter, ok = g.admit(tenant, part, limited, now)
 	t := tally{requested: 1}
 	switch {
 	case ok:
@@ -209,6 +227,9 @@
 	return min(1, float64(s.nodes()+s.peerNodes())/float64(s.size))
 }
 
+// ownPart returns the part of all nodes whose counts this node reports.
+func (s *state) ownPart() float64 { return min(1, float64(s.nodes())/float64(s.size)) }
+
 // nodes returns the number of nodes whose counts this node reports, and peerNodes that of the other regions' reports.
 func (s *state) nodes() int {
 	sum := 1
@@ -231,9 +252,9 @@
 
 // allotment returns the rate and the burst of the tenant that the accounts of this node may admit.
 func (s *state) allotment(tenant *servicelist.Tenant, part float64) (rate, saved float64) {
-	rate, saved = tenant.Rate*part, burst(tenant, part)
+	rate, saved = tenant.Rate*part, burst(tenant, part)+slackBurst*part
 	if part < 1 && part >= minPartNodes {
-		rate, saved = min(tenant.Rate, rate+extraRate), min(burst(tenant, 1), saved+extraBurst)
+		rate, saved = min(tenant.Rate, rate+extraRate), min(burst(tenant, 1)+slackBurst, saved+extraBurst)
 	}
 	return rate, saved
 }
@@ -245,6 +266,9 @@
 			delete(s.senders, name)
 		}
 	}
+	if len(s.senders) > 0 && s.parent.urgent && s.parent.overdue(now) {
+		s.parent.suspect = true
+	}
 	switch fresh := s.parent.fresh(now); {
 	case fresh && s.keeping():
 		s.accounts, s.limits = nil, map[tenantID]limit{}
@@ -253,6 +277,9 @@
 	case !fresh && !s.keeping():
 		s.beginKeeping(now)
 	}
+	if !s.parent.counted(now) && !s.parent.busy {
+		s.parent.forget()
+	}
 	if s.keeping() {
 		s.compute(now)
 	}
@@ -260,14 +287,14 @@
 
 // beginKeeping begins to keep accounts. They start with the debts that the former keeper stated.
 func (s *state) beginKeeping(now time.Duration) {
-	s.debts = map[tenantID]float64{}
-	for tenant, limited := range s.limits {
-		s.debts[tenant] = min(0, limited.tokens)
+	s.accounts = map[tenantID]*account{}
+	for id, limited := range s.limits {
+		if s.tenants[id] != nil {
+			s.accounts[id] = &account{tokens: min(0, limited.tokens) * s.part(), demand: limited.demand * s.part(), at: now}
+		}
 	}
-	s.accounts, s.limits = map[tenantID]*account{}, map[tenantID]limit{}
-	s.keepingSince, s.computedAt = now, now
-	s.parent.forget()
-	s.parent.acked = false
+	s.limits = map[tenantID]limit{}
+	s.keepingSince, s.computedAt = now, now-accountInterval
 	s.changes++
 	if s.alone() {
 		s.fallbacks++
@@ -290,12 +317,13 @@
 		rate, saved := s.allotment(s.tenants[id], part)
 		a.advance(rate, saved, now)
 		if fraction := a.fraction(rate); fraction < 1 {
-			s.limits[id] = limit{fraction, a.tokens}
+			s.limits[id] = limit{fraction, a.tokens, a.demand}
 		}
 		if a.idle(saved) {
 			delete(s.accounts, id)
 		}
 	}
+	s.observeLimits()
 }
 
 // count records counts of this node or of a sender with this scope.
@@ -304,18 +332,18 @@
 	if tenant == nil || t == (tally{}) {
 		return // the list differs between nodes for a moment
 	}
-	usual := tenant.Rate * float64(s.nodes()) / float64(s.size)
+	usual := tenant.Rate * s.ownPart()
+	if s.parent.counted(now) { // also after a failure, until the parent leaves this node its part
+		s.parent.add(id, t, usual, now)
+	}
 	if !s.keeping() {
-		s.parent.add(id, t, usual)
 		return
 	}
 	rate, saved := s.allotment(tenant, s.part())
 	a := s.accounts[id]
 	if a == nil {
 		a = &account{at: now}
-		if now-s.keepingSince < settleTime {
-			a.tokens = s.debts[id] * s.part()
-		} else {
+		if now-s.keepingSince >= settleTime {
 			a.tokens = saved
 		}
 		s.accounts[id] = a
@@ -326,7 +354,7 @@
 		return
 	}
 	for _, peer := range s.peers {
-		peer.add(id, t, usual)
+		peer.add(id, t, usual, now)
 	}
 }
 
@@ -351,9 +379,6 @@
 			s.count(row.tenant, row.tally, r.scope, now)
 		}
 	}
-	if r.scope == scopePeer {
-		return &answer{}, true // it keeps accounts itself
-	}
 	return s.answer(), true
 }
 
@@ -378,11 +403,68 @@
 	return a
 }
 
-// outgoing is a report to send.
+// outgoing is a message to send: a report on a link or, if link is nil, the limits for a node that reports to this one.
 type outgoing struct {
 	link   *link
-	to     cluster.Member
+	name   string // of the receiver
+	addr   string // its peer address
 	report *report
+	limits *push
+}
+
+// observeLimits notes whether the limits are so much lower than the senders know that they should know at once.
+func (s *state) observeLimits() {
+	for id, known := range s.pushed {
+		if limited, ok := s.limits[id]; !ok || limited.fraction > known {
+			delete(s.pushed, id) // the senders learn of higher fractions with the answers to their reports
+		}
+	}
+	for id, limited := range s.limits {
+		known, ok := s.pushed[id]
+		if !ok {
+			known = 1
+		}
+		if limited.fraction < known*pushFactor {
+			s.pushDue = true
+		}
+	}
+}
+
+// pushes returns the messages that tell the limits to the nodes that report to this one, if they are due. Without them, the
+// nodes would admit the whole demand of a tenant until their next reports.
+func (s *state) pushes(now time.Duration) (messages []outgoing) {
+	if !s.pushDue || now-s.pushedAt < pushInterval {
+		return nil
+	}
+	s.pushDue, s.pushedAt = false, now
+	for id, limited := range s.limits {
+		s.pushed[id] = limited.fraction
+	}
+	told := &push{from: s.name, answer: *s.answer()}
+	for name, from := range s.senders {
+		if addr := s.addrs[name]; addr != "" && from.scope != scopePeer {
+			messages = append(messages, outgoing{name: name, addr: addr, limits: told})
+		}
+	}
+	return messages
+}
+
+// receivePush applies limits that the node to which this one reports has sent.
+func (s *state) receivePush(told *push, now time.Duration) {
+	s.settle(now)
+	if s.keeping() || s.parentName != told.from {
+		return
+	}
+	s.adopt(&told.answer)
+}
+
+// adopt obeys the limits that the parent stated.
+func (s *state) adopt(stated *answer) {
+	clear(s.limits)
+	for _, row := range stated.rows {
+		s.limits[row.tenant] = row.limit
+	}
+	s.observeLimits()
 }
 
 // poll returns the reports that are due, and the time of the next call.
@@ -390,12 +472,15 @@
 	s.settle(now)
 	s.sweep(now)
 	next = now + calmInterval
+	if reports = s.pushes(now); s.pushDue {
+		next = min(next, s.pushedAt+pushInterval)
+	}
 	add := func(l *link, to cluster.Member, scope scope, interval time.Duration) {
 		switch due := l.dueAt(interval); {
 		case l.busy:
 		case now >= due:
-			header := report{from: s.name, boot: s.boot, scope: scope, hot: interval == hotInterval, nodes: s.nodes()}
-			reports = append(reports, outgoing{l, to, l.next(to, header, now)})
+			header := report{from: s.name, boot: s.boot, scope: scope, hot: interval <= forwardInterval, nodes: s.nodes()}
+			reports = append(reports, outgoing{link: l, name: memberName(to.ID), addr: to.PeerAddr, report: l.next(header, now)})
 			next = min(next, now+interval)
 		default:
 			next = min(next, due)
@@ -412,7 +497,7 @@
 		return reports, next
 	}
 	if !s.keeping() { // the last parent failed a moment ago
-		s.parent.acked = false
+		s.parent.suspect = true
 		s.settle(now)
 	}
 	for _, peer := range s.hierarchy.Peers(avoided) {
@@ -446,18 +531,37 @@
 
 // answered applies the answer to a report.
 func (s *state) answered(sent outgoing, reply *answer, now time.Duration) {
-	delete(s.avoided, sent.to.PeerAddr)
-	if !sent.link.confirm(sent.report.number) || sent.link != s.parent {
+	delete(s.avoided, sent.addr)
+	if !sent.link.confirm(sent.report.number) {
 		return
 	}
 	s.settle(now)
+	if sent.link != s.parent {
+		s.learn(reply, now)
+		return
+	}
 	if s.keeping() {
 		return // the answer came too late
 	}
-	s.scope = sent.report.scope
-	clear(s.limits)
-	for _, row := range reply.rows {
-		s.limits[row.tenant] = row.limit
+	s.scope, s.parentName = sent.report.scope, sent.name
+	s.adopt(reply)
+}
+
+// learn takes over the debts that the best node of another region knows, if this node keeps accounts only since a moment ago.
+func (s *state) learn(stated *answer, now time.Duration) {
+	if !s.keeping() || now-s.keepingSince >= settleTime {
+		return
+	}
+	for _, row := range stated.rows {
+		if s.tenants[row.tenant] == nil {
+			continue
+		}
+		a := s.accounts[row.tenant]
+		if a == nil {
+			a = &account{at: now}
+			s.accounts[row.tenant] = a
+		}
+		a.tokens, a.demand = min(a.tokens, row.tokens), max(a.demand, row.demand)
 	}
 }
 
@@ -474,9 +578,16 @@
 // failed records that a report was not answered.
 func (s *state) failed(sent outgoing, now time.Duration) {
 	sent.link.fail()
-	before := s.avoided[sent.to.PeerAddr]
-	wait := min(minAvoidTime<<min(before.failures, 4), maxAvoidTime)
-	s.avoided[sent.to.PeerAddr] = avoidance{now + wait, before.failures + 1}
+	if sent.link == s.parent && len(s.senders) > 0 {
+		s.parent.suspect = true // the nodes that report to this one have a part that serves their usual demand
+	}
+	before := s.avoided[sent.addr]
+	if before.failures == 0 { // asked again at once
+		s.avoided[sent.addr] = avoidance{now, 1}
+		return
+	}
+	wait := min(minAvoidTime<<min(before.failures-1, 4), maxAvoidTime)
+	s.avoided[sent.addr] = avoidance{now + wait, before.failures + 1}
 }
 
 // sweep drops what is not needed any more.
@@ -499,9 +610,6 @@
 			delete(s.avoided, addr)
 		}
 	}
-	if now-s.keepingSince >= settleTime {
-		s.debts = nil
-	}
 }
 
 // idle reports whether there is nothing to count.
@@ -509,7 +617,7 @@
 
 // urgent reports whether a report is due before the time that poll returned.
 func (s *state) urgent() bool {
-	if s.parent.urgent && !s.parent.busy {
+	if s.pushDue || s.parent.urgent && !s.parent.busy {
 		return true
 	}
 	for _, peer := range s.peers {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,6 +185,7 @@
 	mux.HandleFunc("GET "+wire.StatePath, n.serveState)
 	mux.Handle("GET "+wire.FollowPath, n.directory.FollowHandler())
 	mux.Handle("POST "+wire.AllotmentPath, n.allotments.Handler())
+	mux.Handle("POST "+wire.AllotmentLimitsPath, n.allotments.Handler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, wire.ForwardPath+"/") {
 			n.target.ServeHTTP(w, r)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -68,6 +68,9 @@
 // AllotmentPath is the path under which a node takes the reports of other nodes about the requests of tenants.
 const AllotmentPath = "/acacialock/v1/allotment"
 
+// AllotmentLimitsPath is the path under which a node takes the limits of tenants from the node to which it reports.
+const AllotmentLimitsPath = AllotmentPath + "/limits"
+
 // StatePath is the path under which a node returns its cluster.NodeState to operators, in JSON.
 const StatePath = "/acacialock/v1/state"
 
