--- a/internal/allotment/link.go
+++ b/internal/allotment/link.go
@@ -44,18 +44,20 @@
 // link carries reports to one receiver at a time: the parent of this node, or the best node of another region. It is not
 // safe for concurrent use.
 type link struct {
-	pending  map[tenantID]tally // counts that no report holds yet
-	unacked  *report            // sent, but not known to be received
-	number   uint64             // of the last report
-	busy     bool               // a report is on its way
-	urgent   bool               // the next report is due after urgentInterval
-	sentAt   time.Duration      // of the last report
-	ackedAt  time.Duration      // when the last report was sent that was answered
-	acked    bool               // a report was answered, and ackedAt is valid
-	suspect  bool               // the last report failed
-	alertTo  time.Duration      // end of the alertTime
-	hot      bool               // as announced by the last report
-	ackedHot bool               // as announced by the last report that was answered
+	pending   map[tenantID]tally // counts that no report holds yet
+	unacked   *report            // sent, but not known to be received
+	number    uint64             // of the last report
+	busy      bool               // a report is on its way
+	urgent    bool               // the next report is due after urgentInterval
+	sentAt    time.Duration      // of the last report
+	ackedAt   time.Duration      // when the last report was sent that was answered
+	acked     bool               // a report was answered, and ackedAt is valid
+	suspect   bool               // the last report failed
+	unackedAt time.Duration      // when the rows of unacked were first sent
+	pendingAt time.Duration      // since when pending collects
+	alertTo   time.Duration      // end of the alertTime
+	hot       bool               // as announced by the last report
+	ackedHot  bool               // as announced by the last report that was answered
 }
 
 func newLink() *link { return &link{pending: map[tenantID]tally{}, sentAt: -calmInterval} }
@@ -77,7 +79,7 @@
 // excessive reports whether clearly more requests of the tenant came since the last report than a tenant brings that uses
 // the part usualLoad of its rate.
 func (l *link) excessive(tenant tenantID, usual float64, now time.Duration) bool {
-	expected := usual * usualLoad * (now - l.sentAt).Seconds()
+	expected := usual * usualLoad * (now - l.pendingAt).Seconds()
 	return float64(l.pending[tenant].requested) >= max(minUrgent, expected+urgentDeviations*math.Sqrt(expected)+1)
 }
 
@@ -90,7 +92,9 @@
 func (l *link) fresh(now time.Duration) bool { return l.counted(now) && !l.suspect }
 
 // overdue reports whether the answer to a report takes so long that the receiver is likely to be unreachable.
-func (l *link) overdue(now time.Duration) bool { return l.busy && now-l.sentAt >= overdueTime }
+func (l *link) overdue(now time.Duration) bool {
+	return l.unacked != nil && now-l.unackedAt >= overdueTime
+}
 
 // dueAt returns the time of the next report; interval is that of a report that isn't urgent.
 func (l *link) dueAt(interval time.Duration) time.Duration {
@@ -104,9 +108,9 @@
 }
 
 // forget drops the counts. They were admitted under this node's own part of the allotments, which others have left to it.
-func (l *link) forget() {
+func (l *link) forget(now time.Duration) {
 	clear(l.pending)
-	l.unacked, l.urgent = nil, false
+	l.unacked, l.urgent, l.pendingAt = nil, false, now
 }
 
 // next returns the report to send: the last one again if it was not answered.
@@ -115,19 +119,19 @@
 		l.alertTo = now + alertTime
 	}
 	l.busy, l.sentAt, l.hot, l.urgent = true, now, header.hot, false
-	if l.unacked != nil {
-		again := header
-		again.number, again.rows = l.unacked.number, l.unacked.rows
-		l.unacked = &again
-		return &again
-	}
 	l.number++
 	header.number = l.number
+	if l.unacked != nil {
+		header.rowsNumber, header.rows = l.unacked.rowsNumber, l.unacked.rows
+		l.unacked = &header
+		return &header
+	}
+	header.rowsNumber = l.number
 	for tenant, sum := range l.pending {
 		header.rows = append(header.rows, reportRow{tenant, sum})
 	}
 	clear(l.pending)
-	l.unacked = &header
+	l.unacked, l.unackedAt, l.pendingAt = &header, now, now
 	return &header
 }
 
--- a/internal/allotment/message.go
+++ b/internal/allotment/message.go
@@ -21,16 +21,17 @@
 	scopePeer                // the best one of a region to that of another region
 )
 
-// report tells the counts of the sender and of those that report to it. A report is sent again with the same number until
-// it is answered, so that the receiver counts it once.
+// report tells the counts of the sender and of those that report to it. Rows are sent again with the same rowsNumber until
+// they are answered, so that the receiver counts them once.
 type report struct {
-	from   string // name of the node
-	boot   uint64 // random number of the process
-	number uint64
-	scope  scope
-	hot    bool // the next report follows after hotInterval
-	nodes  int  // number of nodes whose counts it holds
-	rows   []reportRow
+	from       string // name of the node
+	boot       uint64 // random number of the process
+	number     uint64 // rises with each report
+	rowsNumber uint64 // number of the first report with these rows
+	scope      scope
+	hot        bool // the next report follows after forwardInterval at most
+	nodes      int  // number of nodes whose counts no other receiver expects
+	rows       []reportRow
 }
 
 type reportRow struct {
@@ -70,6 +71,7 @@
 	out := append(make([]byte, 0, 48+11*len(r.rows)), messageFormat, flags)
 	out = binary.LittleEndian.AppendUint64(out, r.boot)
 	out = binary.AppendUvarint(out, r.number)
+	out = binary.AppendUvarint(out, r.number-r.rowsNumber)
 	out = binary.AppendUvarint(out, uint64(r.nodes))
 	out = binary.AppendUvarint(out, uint64(len(r.from)))
 	out = append(out, r.from...)
@@ -86,6 +88,7 @@
 	d := decoder{data: data}
 	format, flags := d.byte(), d.byte()
 	r := &report{scope: scope(flags &^ hotFlag), hot: flags&hotFlag != 0, boot: d.uint64(), number: d.uvarint()}
+	r.rowsNumber = r.number - d.uvarint()
 	r.nodes = int(min(d.uvarint(), math.MaxInt32))
 	r.from = string(d.bytes(d.uvarint()))
 	rows := d.uvarint()
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -1,6 +1,7 @@
 package allotment
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,9 @@
 	// settleTime is the time after this node began to keep accounts in which new accounts are empty, since it doesn't know
 	// what was spent before.
 	settleTime = 5 * time.Second
+	// suspendTime is the time without a step after which the process counts as suspended. It takes one at least each
+	// calmInterval.
+	suspendTime = 2 * time.Second
 	// minPartNodes is the part of all nodes from which those that are cut off together get extraRate and extraBurst of each
 	// tenant beyond their part, in requests per second and requests. They even out chance for small tenants; at most four
 	// such parts exist, which stay within the 20 requests by which the allotment may be exceeded in 5 s.
@@ -29,6 +33,9 @@
 	// pushInterval the least time between two such messages.
 	pushFactor   = 0.7
 	pushInterval = 200 * time.Millisecond
+	// learnFactor is the part of the difference to the tokens that another region's best node knows that is made up with each
+	// answer.
+	learnFactor = 0.25
 	// maxAnswerRows bounds the limited tenants in an answer; those with the lowest fraction go first.
 	maxAnswerRows = 1000
 	// minAvoidTime is the time for which a node isn't asked that did not answer, and maxAvoidTime the one after repeated
@@ -40,7 +47,8 @@
 // sender is a node that reports to this one.
 type sender struct {
 	boot    uint64
-	number  uint64
+	number  uint64 // of the last report
+	counted uint64 // rowsNumber of the last rows that were counted
 	nodes   int
 	scope   scope
 	validTo time.Duration
@@ -72,7 +80,9 @@
 	avoided map[string]avoidance // by peer address
 
 	parent     *link
-	scope      scope            // of the parent's confirmed link
+	scope      scope  // of the parent's confirmed link
+	claimedBy  string // node that may count this one, until claimedTo
+	claimedTo  time.Duration
 	parentName string           // of the node that answered last
 	peers      map[string]*link // to other regions' best nodes, by their region
 	limits     map[tenantID]limit
@@ -82,6 +92,7 @@
 	keepingSince time.Duration
 	computedAt   time.Duration
 	sweptAt      time.Duration
+	settledAt    time.Duration
 
 	addrs    map[string]string    // peer addresses by name
 	pushed   map[tenantID]float64 // fractions that the senders know
@@ -261,6 +272,11 @@
 
 // settle adapts the state to the time: senders and the parent may have fallen silent.
 func (s *state) settle(now time.Duration) {
+	if now-s.settledAt >= suspendTime && s.keeping() {
+		s.accounts = nil // others have kept the accounts since
+		s.limits = map[tenantID]limit{}
+	}
+	s.settledAt = now
 	for name, from := range s.senders {
 		if now >= from.validTo {
 			delete(s.senders, name)
@@ -278,7 +294,7 @@
 		s.beginKeeping(now)
 	}
 	if !s.parent.counted(now) && !s.parent.busy {
-		s.parent.forget()
+		s.parent.forget(now)
 	}
 	if s.keeping() {
 		s.compute(now)
@@ -372,9 +388,11 @@
 		from = &sender{boot: r.boot}
 		s.senders[r.from] = from
 	}
-	from.nodes, from.scope, from.validTo = min(r.nodes, s.size), r.scope, now+lifetime(r.hot)
-	if r.number > from.number {
-		from.number = r.number
+	if r.number > from.number { // not a late duplicate
+		from.number, from.nodes, from.scope, from.validTo = r.number, min(r.nodes, s.size), r.scope, now+lifetime(r.hot)
+	}
+	if r.rowsNumber > from.counted {
+		from.counted = r.rowsNumber
 		for _, row := range r.rows {
 			s.count(row.tenant, row.tally, r.scope, now)
 		}
@@ -441,8 +459,8 @@
 		s.pushed[id] = limited.fraction
 	}
 	told := &push{from: s.name, answer: *s.answer()}
-	for name, from := range s.senders {
-		if addr := s.addrs[name]; addr != "" && from.scope != scopePeer {
+	for _, name := range slices.Sorted(maps.Keys(s.senders)) {
+		if addr := s.addrs[name]; addr != "" && s.senders[name].scope != scopePeer {
 			messages = append(messages, outgoing{name: name, addr: addr, limits: told})
 		}
 	}
@@ -480,6 +498,9 @@
 		case l.busy:
 		case now >= due:
 			header := report{from: s.name, boot: s.boot, scope: scope, hot: interval <= forwardInterval, nodes: s.nodes()}
+			if l == s.parent {
+				header.nodes = s.claim(memberName(to.ID), header, now)
+			}
 			reports = append(reports, outgoing{link: l, name: memberName(to.ID), addr: to.PeerAddr, report: l.next(header, now)})
 			next = min(next, now+interval)
 		default:
@@ -507,7 +528,7 @@
 			s.peers[peer.Region] = l
 		}
 		if !l.busy && !l.fresh(now) {
-			l.forget()
+			l.forget(now)
 		}
 		interval := calmInterval
 		if len(s.limits) > 0 {
@@ -518,6 +539,16 @@
 	return reports, next
 }
 
+// claim returns the number of nodes to state in a report to the parent with this name. While a former parent may still count
+// them, it is 0: two nodes that keep accounts must not both use the part of the same nodes.
+func (s *state) claim(parent string, header report, now time.Duration) int {
+	if parent != s.claimedBy && now < s.claimedTo {
+		return 0
+	}
+	s.claimedBy, s.claimedTo = parent, now+reportTimeout+lifetime(header.hot)
+	return header.nodes
+}
+
 // interval returns the time between two reports to the parent.
 func (s *state) interval(now time.Duration) time.Duration {
 	switch {
@@ -547,27 +578,36 @@
 	s.adopt(reply)
 }
 
-// learn takes over the debts that the best node of another region knows, if this node keeps accounts only since a moment ago.
+// learn brings the accounts closer to those of the best node of another region. Both count the same requests, but lost and
+// repeated reports let them drift apart. A node that keeps accounts only since a moment ago takes over the debts.
 func (s *state) learn(stated *answer, now time.Duration) {
-	if !s.keeping() || now-s.keepingSince >= settleTime {
+	if !s.keeping() {
 		return
 	}
+	known := make(map[tenantID]limit, len(stated.rows))
 	for _, row := range stated.rows {
-		if s.tenants[row.tenant] == nil {
-			continue
+		known[row.tenant] = row.limit
+		if s.tenants[row.tenant] != nil && s.accounts[row.tenant] == nil {
+			s.accounts[row.tenant] = &account{at: now}
 		}
-		a := s.accounts[row.tenant]
-		if a == nil {
-			a = &account{at: now}
-			s.accounts[row.tenant] = a
+	}
+	for id, a := range s.accounts {
+		theirs, limited := known[id]
+		switch {
+		case limited && now-s.keepingSince < settleTime:
+			a.tokens, a.demand = min(a.tokens, theirs.tokens), max(a.demand, theirs.demand)
+		case limited || a.tokens < 0: // a tenant that isn't limited there has no debt there
+			a.tokens += learnFactor * (theirs.tokens - a.tokens)
 		}
-		a.tokens, a.demand = min(a.tokens, row.tokens), max(a.demand, row.demand)
 	}
 }
 
 // refused records that the receiver doesn't take reports from this node. While the last answer is valid, it is asked again:
 // it may not know yet that its own parent has failed.
 func (s *state) refused(sent outgoing, now time.Duration) {
+	if sent.link == s.parent && s.claimedBy == sent.name && s.parentName != sent.name {
+		s.claimedTo = now // it counted nothing
+	}
 	if sent.link == s.parent && s.parent.fresh(now) {
 		sent.link.busy = false
 		return
@@ -578,6 +618,9 @@
 // failed records that a report was not answered.
 func (s *state) failed(sent outgoing, now time.Duration) {
 	sent.link.fail()
+	if from := s.senders[sent.name]; sent.link != s.parent && from != nil && from.scope == scopePeer {
+		delete(s.senders, sent.name) // it is likely to be cut off from this region
+	}
 	if sent.link == s.parent && len(s.senders) > 0 {
 		s.parent.suspect = true // the nodes that report to this one have a part that serves their usual demand
 	}
--- a/internal/allotment/trace_test.go
+++ b/internal/allotment/trace_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -105,50 +107,63 @@
 	}
 }
 
+func scenario(seed int64, loss float64, each func(s *simulation)) (*simulation, string) {
+	r := rand.New(rand.NewSource(seed))
+	s := newSimulation(seed, 2+r.Intn(23), 1+r.Intn(2), 3, 100)
+	s.loss = loss
+	factor := 1.0
+	s.demand = func(tenant, _ int, _ time.Duration) float64 { return factor * s.usual(tenant) }
+	run := func(d time.Duration) {
+		for end := s.now + d; s.now < end; {
+			s.run(min(end-s.now, 250*time.Millisecond))
+			if each != nil {
+				each(s)
+			}
+		}
+	}
+	run(6 * time.Second)
+	log := ""
+	for range 1 + r.Intn(12) {
+		n := r.Intn(len(s.nodes))
+		f := r.Intn(6)
+		log += fmt.Sprint(" ", s.now, []string{"cut", "heal", "kill", "freeze", "hot", "calm"}[f], n)
+		switch f {
+		case 0:
+			zone := s.nodes[n].member.Zone
+			for _, other := range s.nodes {
+				if other.member.Zone == zone {
+					other.side = 1
+				}
+			}
+		case 1:
+			for _, other := range s.nodes {
+				other.side = 0
+			}
+		case 2:
+			s.boot(n)
+		case 3:
+			s.nodes[n].frozenTo = s.now + time.Duration(r.Intn(8000))*time.Millisecond
+		case 4:
+			factor = 7.5
+		case 5:
+			factor = 1
+		}
+		run(time.Duration(r.Intn(3000)) * time.Millisecond)
+	}
+	run(3 * time.Second)
+	return s, log
+}
+
 func TestSpread(t *testing.T) {
 	for _, loss := range []float64{0, 0.05, 0.3} {
 		over, worst := 0, 0.0
-		for seed := range 150 {
-			r := rand.New(rand.NewSource(int64(seed)))
-			s := newSimulation(int64(seed), 2+r.Intn(23), 1+r.Intn(2), 3, 100)
-			s.loss = loss
-			factor := 1.0
-			s.demand = func(tenant, _ int, _ time.Duration) float64 { return factor * s.usual(tenant) }
-			s.run(6 * time.Second)
-			log := ""
-			for range 1 + r.Intn(12) {
-				n := r.Intn(len(s.nodes))
-				f := r.Intn(6)
-				log += fmt.Sprint(" ", s.now, []string{"cut", "heal", "kill", "freeze", "hot", "calm"}[f], n)
-				switch f {
-				case 0:
-					zone := s.nodes[n].member.Zone
-					for _, other := range s.nodes {
-						if other.member.Zone == zone {
-							other.side = 1
-						}
-					}
-				case 1:
-					for _, other := range s.nodes {
-						other.side = 0
-					}
-				case 2:
-					s.boot(n)
-				case 3:
-					s.nodes[n].frozenTo = s.now + time.Duration(r.Intn(8000))*time.Millisecond
-				case 4:
-					factor = 7.5
-				case 5:
-					factor = 1
-				}
-				s.run(time.Duration(r.Intn(3000)) * time.Millisecond)
-			}
-			s.run(3 * time.Second)
+		for seed := range 300 {
+			s, log := scenario(int64(seed), loss, nil)
 			tenant, part := s.worst()
 			worst = max(worst, part)
 			if part > 1 {
 				over++
-				if over < 12 {
+				if over < 8 {
 					t.Logf("loss %.2f seed %d nodes %d tenant %d %.2f: %s", loss, seed, len(s.nodes), tenant, part, log)
 				}
 			}
@@ -156,3 +171,30 @@
 		t.Logf("loss %.2f: %d over, worst %.2f", loss, over, worst)
 	}
 }
+
+func TestOne(t *testing.T) {
+	seed, _ := strconv.Atoi(os.Getenv("SEED"))
+	loss, _ := strconv.ParseFloat(os.Getenv("LOSS"), 64)
+	s, _ := scenario(int64(seed), loss, nil)
+	tenant, _ := s.worst()
+	last := time.Duration(0)
+	s, log := scenario(int64(seed), loss, func(s *simulation) {
+		line := ""
+		for j, n := range s.nodes {
+			if s.now < n.frozenTo {
+				line += fmt.Sprintf(" [%d frozen side %d]", j, n.side)
+				continue
+			}
+			if n.state.keeping() {
+				a := n.state.accounts[s.ids[tenant]]
+				if a == nil {
+					a = &account{}
+				}
+				line += fmt.Sprintf(" [%d side %d part %.2f n%d tok %.0f dem %.0f fr %.2f]", j, n.side, n.state.part(), n.state.nodes(), a.tokens, a.demand, a.fraction(s.tenants[tenant].Rate*n.state.part()))
+			}
+		}
+		t.Logf("%v +%d win %.2f %s", s.now, s.sum(tenant, last, s.now), float64(s.sum(tenant, max(0, s.now-quotaWindow), s.now))/s.allowed(tenant), line)
+		last = s.now
+	})
+	t.Log(tenant, s.tenants[tenant].Rate, len(s.nodes), log)
+}
