--- a/internal/allotment/account.go
+++ b/internal/allotment/account.go
@@ -26,7 +26,7 @@
 	demandTime = time.Second
 	// spendTime is the time in which the saved tokens may be spent, and debtTime the one in which a debt is paid back. The
 	// counts are known about a second late; shorter times would let the rate oscillate.
-	spendTime = 500 * time.Millisecond
+	spendTime = time.Second
 	debtTime  = time.Second
 	// admittedTime is the time constant of the rate of admitted requests, and reactionTime the time until a lower fraction
 	// holds at the nodes: what they admit until then beyond the rate is counted in advance.
--- a/internal/allotment/message.go
+++ b/internal/allotment/message.go
@@ -32,6 +32,8 @@
 	hot        bool // the next report follows after forwardInterval at most
 	nodes      int  // number of nodes whose counts no other receiver expects
 	rows       []reportRow
+	// known are the limits that another node stated before the sender chose this receiver.
+	known answer
 }
 
 type reportRow struct {
@@ -81,7 +83,7 @@
 		out = binary.AppendVarint(out, row.admitted)
 		out = binary.AppendVarint(out, row.requested)
 	}
-	return out
+	return r.known.append(out)
 }
 
 func decodeReport(data []byte) (*report, error) {
@@ -102,6 +104,11 @@
 		}
 		r.rows = append(r.rows, row)
 	}
+	known, err := decodeAnswer(d.data)
+	if err != nil {
+		return nil, err
+	}
+	r.known = *known
 	return r, nil
 }
 
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -93,6 +93,7 @@
 	computedAt   time.Duration
 	sweptAt      time.Duration
 	settledAt    time.Duration
+	wasAlone     bool
 
 	addrs    map[string]string    // peer addresses by name
 	pushed   map[tenantID]float64 // fractions that the senders know
@@ -296,6 +297,11 @@
 	if !s.parent.counted(now) && !s.parent.busy {
 		s.parent.forget(now)
 	}
+	if alone := s.alone(); alone != s.wasAlone {
+		if s.wasAlone = alone; alone {
+			s.enterAlone(now)
+		}
+	}
 	if s.keeping() {
 		s.compute(now)
 	}
@@ -312,11 +318,16 @@
 	s.limits = map[tenantID]limit{}
 	s.keepingSince, s.computedAt = now, now-accountInterval
 	s.changes++
-	if s.alone() {
-		s.fallbacks++
-		for id, g := range s.gates {
-			g.refill(s.tenants[id], s.part(), now)
-			g.tokens = min(g.tokens, 1)
+}
+
+// enterAlone lets the gates begin with one request of each tenant at most, or with the tenant's debt.
+func (s *state) enterAlone(now time.Duration) {
+	s.fallbacks++
+	for id, g := range s.gates {
+		g.refill(s.tenants[id], s.part(), now)
+		g.tokens = min(g.tokens, 1)
+		if a := s.accounts[id]; a != nil {
+			g.tokens = min(g.tokens, a.tokens)
 		}
 	}
 }
@@ -393,6 +404,7 @@
 	}
 	if r.rowsNumber > from.counted {
 		from.counted = r.rowsNumber
+		s.inherit(r.known.rows, now)
 		for _, row := range r.rows {
 			s.count(row.tenant, row.tally, r.scope, now)
 		}
@@ -498,8 +510,11 @@
 		case l.busy:
 		case now >= due:
 			header := report{from: s.name, boot: s.boot, scope: scope, hot: interval <= forwardInterval, nodes: s.nodes()}
-			if l == s.parent {
-				header.nodes = s.claim(memberName(to.ID), header, now)
+			if name := memberName(to.ID); l == s.parent {
+				header.nodes = s.claim(name, header, now)
+				if name != s.parentName {
+					header.known = *s.answer()
+				}
 			}
 			reports = append(reports, outgoing{link: l, name: memberName(to.ID), addr: to.PeerAddr, report: l.next(header, now)})
 			next = min(next, now+interval)
@@ -584,24 +599,36 @@
 	if !s.keeping() {
 		return
 	}
+	s.inherit(stated.rows, now)
 	known := make(map[tenantID]limit, len(stated.rows))
 	for _, row := range stated.rows {
 		known[row.tenant] = row.limit
-		if s.tenants[row.tenant] != nil && s.accounts[row.tenant] == nil {
-			s.accounts[row.tenant] = &account{at: now}
-		}
 	}
 	for id, a := range s.accounts {
-		theirs, limited := known[id]
-		switch {
-		case limited && now-s.keepingSince < settleTime:
-			a.tokens, a.demand = min(a.tokens, theirs.tokens), max(a.demand, theirs.demand)
-		case limited || a.tokens < 0: // a tenant that isn't limited there has no debt there
+		if theirs, limited := known[id]; limited || a.tokens < 0 { // a tenant that isn't limited there has no debt there
 			a.tokens += learnFactor * (theirs.tokens - a.tokens)
 		}
 	}
 }
 
+// inherit takes over the debts that another node knows, if this node keeps accounts only since a moment ago.
+func (s *state) inherit(rows []answerRow, now time.Duration) {
+	if !s.keeping() || now-s.keepingSince >= settleTime {
+		return
+	}
+	for _, row := range rows {
+		if s.tenants[row.tenant] == nil {
+			continue
+		}
+		a := s.accounts[row.tenant]
+		if a == nil {
+			a = &account{at: now}
+			s.accounts[row.tenant] = a
+		}
+		a.tokens, a.demand = min(a.tokens, row.tokens*s.part()), max(a.demand, row.demand*s.part())
+	}
+}
+
 // refused records that the receiver doesn't take reports from this node. While the last answer is valid, it is asked again:
 // it may not know yet that its own parent has failed.
 func (s *state) refused(sent outgoing, now time.Duration) {
