--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -24,7 +24,7 @@
 
 const (
 	// reportTimeout bounds a report and its answer.
-	reportTimeout = 500 * time.Millisecond
+	reportTimeout = 400 * time.Millisecond
 	// snapshotInterval is the time between two checks for tenants with a rate while there are none.
 	snapshotInterval = time.Second
 	// maxEventsPerSecond bounds the log lines about limited tenants.
--- a/internal/allotment/link.go
+++ b/internal/allotment/link.go
@@ -1,6 +1,7 @@
 package allotment
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -16,7 +17,7 @@
 	// calmLifetime is the time after which a node counts as cut off whose last report did not announce that it is hot;
 	// hotLifetime is that of the others. Both sides of a cut then use no more than their part of the allotments. Until then,
 	// together they may admit more: with half of the nodes cut off, rate x lifetime / 2.
-	calmLifetime = 2500 * time.Millisecond
+	calmLifetime = 2 * time.Second
 	hotLifetime  = 1200 * time.Millisecond
 	// overdueTime is the time after which an unanswered report makes a node careful with tenants whose demand has risen.
 	overdueTime = 300 * time.Millisecond
@@ -113,6 +114,17 @@
 	l.unacked, l.urgent, l.pendingAt = nil, false, now
 }
 
+// uncounted returns the counts that the receiver has not confirmed.
+func (l *link) uncounted() map[tenantID]tally {
+	sums := maps.Clone(l.pending)
+	if l.unacked != nil {
+		for _, row := range l.unacked.rows {
+			sums[row.tenant] = sums[row.tenant].plus(row.tally)
+		}
+	}
+	return sums
+}
+
 // next returns the report to send: the last one again if it was not answered.
 func (l *link) next(header report, now time.Duration) *report {
 	if l.urgent {
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -26,6 +26,8 @@
 	minPartNodes = 0.2
 	extraRate    = 0.5
 	extraBurst   = 2.0
+	// smallRate is the rate in requests per second below which chance matters.
+	smallRate = 5.0
 	// slackBurst is the number of requests that are saved up beyond the burst, so that chance doesn't let usual traffic of a
 	// small tenant be refused.
 	slackBurst = 7.0
@@ -91,6 +93,7 @@
 	accounts     map[tenantID]*account // nil while the parent keeps them
 	keepingSince time.Duration
 	computedAt   time.Duration
+	computedPart float64 // part of the allotments at the last computation
 	sweptAt      time.Duration
 	settledAt    time.Duration
 	wasAlone     bool
@@ -265,7 +268,7 @@
 // allotment returns the rate and the burst of the tenant that the accounts of this node may admit.
 func (s *state) allotment(tenant *servicelist.Tenant, part float64) (rate, saved float64) {
 	rate, saved = tenant.Rate*part, burst(tenant, part)+slackBurst*part
-	if part < 1 && part >= minPartNodes {
+	if part < 1 && part >= minPartNodes && rate < smallRate {
 		rate, saved = min(tenant.Rate, rate+extraRate), min(burst(tenant, 1)+slackBurst, saved+extraBurst)
 	}
 	return rate, saved
@@ -315,11 +318,34 @@
 			s.accounts[id] = &account{tokens: min(0, limited.tokens) * s.part(), demand: limited.demand * s.part(), at: now}
 		}
 	}
+	s.countUnacked(now)
 	s.limits = map[tenantID]limit{}
-	s.keepingSince, s.computedAt = now, now-accountInterval
+	s.keepingSince, s.computedAt, s.computedPart = now, now-accountInterval, s.part()
 	s.changes++
 }
 
+// countUnacked counts the requests that the former keeper of the accounts may not know of, beyond what the part of these nodes
+// has brought since.
+func (s *state) countUnacked(now time.Duration) {
+	if !s.parent.acked {
+		return
+	}
+	elapsed := min(now-s.parent.ackedAt, calmLifetime).Seconds()
+	for id, t := range s.parent.uncounted() {
+		tenant := s.tenants[id]
+		if tenant == nil {
+			continue
+		}
+		a := s.accounts[id]
+		if a == nil {
+			a = &account{at: now}
+			s.accounts[id] = a
+		}
+		a.count(t)
+		a.tokens = min(0, a.tokens+tenant.Rate*s.part()*elapsed)
+	}
+}
+
 // enterAlone lets the gates begin with one request of each tenant at most, or with the tenant's debt.
 func (s *state) enterAlone(now time.Duration) {
 	s.fallbacks++
@@ -339,8 +365,13 @@
 	}
 	s.computedAt = now
 	part := s.part()
+	kept := min(1, part/s.computedPart) // the nodes that fell silent may use their part of the tokens
+	s.computedPart = part
 	clear(s.limits)
 	for id, a := range s.accounts {
+		if a.tokens > 0 {
+			a.tokens *= kept
+		}
 		rate, saved := s.allotment(s.tenants[id], part)
 		a.advance(rate, saved, now)
 		if fraction := a.fraction(rate); fraction < 1 {
