--- a/internal/allotment/account.go
+++ b/internal/allotment/account.go
@@ -7,10 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// tenantID identifies a tenant in messages: a hash of its name.
+// tenantID identifies a tenant in messages: the first tenantIDBytes of a hash of its name.
 type tenantID uint64
 
-func newTenantID(name string) tenantID { return tenantID(xxhash.Sum64String(name)) }
+// tenantIDBytes is the size of a tenantID in messages. Among 5,000 tenants, two have the same with a probability of 1e-5;
+// they then share the allotment of one of them.
+const tenantIDBytes = 5
+
+func newTenantID(name string) tenantID {
+	return tenantID(xxhash.Sum64String(name) & (1<<(8*tenantIDBytes) - 1))
+}
 
 // tally counts requests of a tenant since the last report. Admitted can be negative: returned requests are subtracted.
 type tally struct {
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -122,7 +122,7 @@
 				s.run(6 * time.Second)
 				for range rapid.IntRange(1, 12).Draw(t, "faults") {
 					s.fault(rapid.IntRange(0, 5).Draw(t, "fault"), rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node"),
-						time.Duration(rapid.IntRange(1, 8000).Draw(t, "suspended")))
+						time.Duration(rapid.IntRange(1, 8000).Draw(t, "suspended"))*time.Millisecond)
 					s.run(max(pause, time.Duration(rapid.IntRange(10, 3000).Draw(t, "ms"))*time.Millisecond))
 				}
 				s.run(3 * time.Second)
@@ -139,7 +139,7 @@
 }
 
 // fault does something to a node or its zone, or to the demand of all tenants.
-func (s *simulation) fault(kind, node int, suspendedMS time.Duration) {
+func (s *simulation) fault(kind, node int, suspended time.Duration) {
 	factor := 1.0
 	switch kind {
 	case 0:
@@ -149,7 +149,7 @@
 	case 2:
 		s.boot(node)
 	case 3:
-		s.nodes[node].frozenTo = s.now + suspendedMS*time.Millisecond
+		s.nodes[node].frozenTo = s.now + suspended
 	case 4:
 		factor = hotFactor
 		fallthrough
--- a/internal/allotment/message.go
+++ b/internal/allotment/message.go
@@ -79,7 +79,7 @@
 	out = append(out, r.from...)
 	out = binary.AppendUvarint(out, uint64(len(r.rows)))
 	for _, row := range r.rows {
-		out = binary.LittleEndian.AppendUint64(out, uint64(row.tenant))
+		out = row.tenant.append(out)
 		out = binary.AppendVarint(out, row.admitted)
 		out = binary.AppendVarint(out, row.requested)
 	}
@@ -98,7 +98,7 @@
 		return nil, errMalformed
 	}
 	for range rows {
-		row := reportRow{tenantID(d.uint64()), tally{admitted: d.varint(), requested: d.varint()}}
+		row := reportRow{d.tenantID(), tally{admitted: d.varint(), requested: d.varint()}}
 		if d.failed {
 			return nil, errMalformed
 		}
@@ -138,7 +138,7 @@
 	out = append(out, messageFormat)
 	out = binary.AppendUvarint(out, uint64(len(a.rows)))
 	for _, row := range a.rows {
-		out = binary.LittleEndian.AppendUint64(out, uint64(row.tenant))
+		out = row.tenant.append(out)
 		out = binary.LittleEndian.AppendUint16(out, uint16(row.fraction*fractionUnits))
 		out = binary.AppendVarint(out, int64(math.Floor(row.tokens)))
 		out = binary.AppendUvarint(out, uint64(row.demand))
@@ -154,7 +154,7 @@
 	}
 	a := &answer{}
 	for range rows {
-		row := answerRow{tenant: tenantID(d.uint64())}
+		row := answerRow{tenant: d.tenantID()}
 		row.fraction = float64(d.uint16()) / fractionUnits
 		row.tokens, row.demand = float64(d.varint()), float64(d.uvarint())
 		if d.failed {
@@ -195,6 +195,20 @@
 	return 0
 }
 
+func (id tenantID) append(out []byte) []byte {
+	for i := range tenantIDBytes {
+		out = append(out, byte(id>>(8*i)))
+	}
+	return out
+}
+
+func (d *decoder) tenantID() (id tenantID) {
+	for i, b := range d.bytes(tenantIDBytes) {
+		id |= tenantID(b) << (8 * i)
+	}
+	return id
+}
+
 func (d *decoder) uint64() uint64 {
 	if b := d.bytes(8); b != nil {
 		return binary.LittleEndian.Uint64(b)
