--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -195,7 +195,7 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
-	if len(l.queue.waiters) >= l.limits.Queue && !w.Exclusive {
+	if l.queueFull(now) && !w.Exclusive {
 		l.evictLast(now)
 	}
 	l.queue.add(w)
@@ -230,7 +230,7 @@
 		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
 	case len(l.queue.waiters) == 0 && l.canStart(w.Exclusive):
 		return nil
-	case len(l.queue.waiters) >= l.limits.Queue && !w.Exclusive && !l.outranksLast(w, now):
+	case l.queueFull(now) && !w.Exclusive && !l.outranksLast(w, now):
 		return l.withRetryAfter(
 			failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(l.queue.waiters)))
 	}
@@ -245,6 +245,17 @@
 	return nil
 }
 
+// queueFull reports whether the queue holds as many requests as it may. Requests for which slots are free, and that wait
+// only for the target's pace, are not counted: requests that reach a new target together all wait for its
+// first reading.
+func (l *Limiter) queueFull(now time.Time) bool {
+	waiting := len(l.queue.waiters)
+	if l.readPace != nil && l.canStart(false) && l.pace.mustWait(0, now) {
+		waiting -= l.slotLimit() - l.inFlight
+	}
+	return waiting >= l.limits.Queue
+}
+
 // withRetryAfter sets RetryAfter to the estimated time until all requests queued now have started, and returns refusal.
 func (l *Limiter) withRetryAfter(refusal *failure.Error) *failure.Error {
 	waiting := len(l.queue.waiters)
--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -325,3 +325,34 @@
 		assert.Equal(t, reads, 1)
 	})
 }
+
+// Guards against requests that reach a new target together and are refused as beyond its queue although slots are free,
+// because they all wait for the first reading of its pace. The queue beyond the free slots stays bounded.
+func TestRequestsOfFreeSlotsWaitTogetherForPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, queue = 20, 9
+		limiter := New(Limits{Slots: slots, Queue: queue})
+		limiter.SetPaceReader(func() (float64, bool) {
+			time.Sleep(5 * time.Millisecond)
+			return 1, true
+		})
+		var served, refused atomic.Int64
+		var running sync.WaitGroup
+		for range slots + queue + 5 {
+			running.Go(func() {
+				slot, refusal := acquire(limiter, time.Minute, true)
+				if refusal != nil {
+					assert.Check(t, refusal.Reason == failure.QueueFull)
+					refused.Add(1)
+					return
+				}
+				served.Add(1)
+				time.Sleep(50 * time.Millisecond)
+				slot.Release(true)
+			})
+		}
+		running.Wait()
+		assert.Equal(t, served.Load(), int64(slots+queue))
+		assert.Equal(t, refused.Load(), int64(5))
+	})
+}
