Keep bodies over 32 KiB in their region until it has refused the call

Cause: the bytes between regions are billed; a busy target could send a body of up to 64 KiB across the link early. Change: a call offers itself to another region before a refusal only if its body is known to be at most 32 KiB long.

--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -15,6 +15,9 @@
 	// minOverflowTime is the least time until the deadline, or until the soft deadline while the own region has not refused the
 	// call, with which it is sent to another region: the round trip of 60 ms and a short service time.
 	minOverflowTime = 120 * time.Millisecond
+	// maxEarlyOverflowBytes is the length of the largest body that is sent to another region before the own region has refused
+	// the call: the bytes between regions are billed.
+	maxEarlyOverflowBytes = 32 << 10
 )
 
 // allowOverflow reports whether a call that its own region refused, or that has no target left there, may be sent to another
@@ -56,8 +59,8 @@
 }
 
 // canOverflowEarly reports whether a call may be offered to another region before its own region has refused it: it has a
-// target latency that it can still meet there.
+// target latency that it can still meet there, and a short body.
 func (h *Handler) canOverflowEarly(c *call, policy *Policy) bool {
 	return c.overflows == 0 && !c.pinned && c.key == "" && !c.softDeadline.IsZero() && c.softRemaining() >= minOverflowTime &&
-		c.sends < maxSends && c.body.replayable() && policy.balancer.CanOverflow()
+		c.sends < maxSends && c.body.length >= 0 && c.body.length <= maxEarlyOverflowBytes && c.body.replayable() && policy.balancer.CanOverflow()
 }
