Decide what waits and what is refused by a plan of the queue, work and shares of tenants

Cause: within one priority the queue knew only soft deadlines, so one tenant with many times its usual requests took the slots of others, requests that would be late took places of others, and under sustained overload the longest kind was starved. Requests left their region for any queue of half the slots, also with most of their slack left. Change: plan.go lays the waiters out on the slots and displaces the one that yields first; a full queue refuses by priority, lateness, tenant share, starved kinds, work and plan; shares.go counts what tenants and kinds get while requests wait. A request leaves the region early only if it would wait for more than half of its slack or the plan displaces one. The tenant comes from Acacialock-Tenant-Name, its weight is its rate in the list.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,9 +41,12 @@
 	mu               sync.Mutex
 	limits           Limits
 	inFlight         int
-	exclusive        bool // the request in flight has exclusive use of the target
-	exclusiveClaimed bool // a request with exclusive use is in flight or queued
+	exclusive        bool            // the request in flight has exclusive use of the target
+	exclusiveClaimed bool            // a request with exclusive use is in flight or queued
+	running          []*Slot         // in no particular order
+	free             []time.Duration // scratch buffer of planQueue
 	queue            queue
+	shares           shares
 	times            estimator
 	saturation       saturationDetector
 	agreedLimit      int       // limit chosen by most targets of the service; 0: none
@@ -70,7 +75,8 @@
 	limiter   *Limiter
 	exclusive bool
 	kind      string
-	load      int // requests at the target when this one started, itself included
+	expected  time.Duration // service time of most requests of its kind when it started
+	load      int           // requests at the target when this one started, itself included
 	started   time.Time
 	slow      bool // the target was in a slow period when the request started
 }
@@ -155,9 +161,14 @@
 	w := &waiter{Request: request, result: make(chan result, 1)}
 	l.mu.Lock()
 	w.serviceTime = l.times.estimate(request.Kind, l.slotLimit())
+	w.typicalTime = l.times.typical(request.Kind, l.slotLimit())
 	l.rate.refill(now)
 	w.starved = l.rate.isStarved(w.Kind) && !l.queue.hasStarved(w.Kind)
+	if len(l.queue.waiters) > 0 || !l.canStart(w.Exclusive) {
+		l.planQueue(w, now)
+	}
 	if refusal := l.checkAdmission(now, w); refusal != nil {
+		l.shares.refuse(&w.Request, now)
 		l.mu.Unlock()
 		return nil, refusal
 	}
@@ -190,13 +201,13 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
-	if w.CanOverflow && !w.Exclusive && !held && w.hasOverflowSlack(now) && (l.hasBacklog() || l.limitDelays(w, now)) {
+	if w.CanOverflow && !w.Exclusive && !held && (l.queue.leavesRegion(w, l.slotLimit(), now) || l.limitDelays(w, now)) {
 		refusal := failure.New(failure.TargetBusy, failure.NotRun, "%d requests run and %d wait", l.inFlight, len(l.queue.waiters))
 		l.mu.Unlock()
 		return nil, refusal
 	}
-	if l.queueFull(now) && !w.Exclusive {
-		l.evictLast(now)
+	if l.queue.place(w, l.queueLength(now), now) == replace {
+		l.evict(now)
 	}
 	l.queue.add(w)
 	if held {
@@ -209,13 +220,24 @@
 	return l.wait(ctx, w, maxWait)
 }
 
-// evictLast refuses the waiter that would get a slot last. The mutex is held.
-func (l *Limiter) evictLast(now time.Time) {
-	if last := l.queue.lastIndex(now); last >= 0 {
-		evicted := l.queue.remove(last)
-		refusal := failure.New(failure.QueueFull, failure.NotRun, "a request that ranks before took the place")
-		evicted.result <- result{refusal: l.withRetryAfter(refusal)}
+// evict refuses the waiter that is refused first for another request. The mutex is held.
+func (l *Limiter) evict(now time.Time) {
+	i := l.queue.evictIndex(now)
+	if i < 0 {
+		return
 	}
+	evicted := l.queue.remove(i)
+	l.shares.refuse(&evicted.Request, now)
+	refusal := failure.New(failure.QueueFull, failure.NotRun, "a request that ranks before took the place%s", evicted.shareNote())
+	evicted.result <- result{refusal: l.withRetryAfter(refusal)}
+}
+
+// shareNote returns a part of the detail of a refusal.
+func (w *waiter) shareNote() string {
+	if w.overserved {
+		return fmt.Sprintf("; tenant %q has got more than it is due", w.Tenant)
+	}
+	return ""
 }
 
 // checkAdmission returns the reason why a request can be neither started nor queued, or nil.
@@ -230,9 +252,9 @@
 		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
 	case len(l.queue.waiters) == 0 && l.canStart(w.Exclusive):
 		return nil
-	case l.queueFull(now) && !w.Exclusive && !l.outranksLast(w, now):
+	case l.queue.place(w, l.queueLength(now), now) == turnAway:
 		return l.withRetryAfter(
-			failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot", len(l.queue.waiters)))
+			failure.New(failure.QueueFull, failure.NotRun, "%d requests wait for a slot%s", len(l.queue.waiters), w.shareNote()))
 	}
 	ahead := l.queue.countAhead(w, now)
 	if !l.limitAdmitsInTime(w, ahead, now) {
@@ -245,15 +267,36 @@
 	return nil
 }
 
-// queueFull reports whether the queue holds as many requests as it may. Requests for which slots are free, and that wait
-// only for the target's pace, are not counted: requests that reach a new target together all wait for its
-// first reading.
-func (l *Limiter) queueFull(now time.Time) bool {
-	waiting := len(l.queue.waiters)
+// queueLength returns the number of requests that may wait. Those for which slots are free, and that wait only for the
+// target's pace, are not counted: requests that reach a new target together all wait for its first reading.
+func (l *Limiter) queueLength(now time.Time) int {
 	if l.readPace != nil && l.canStart(false) && l.pace.mustWait(0, now) {
-		waiting -= l.slotLimit() - l.inFlight
+		return l.limits.Queue + l.slotLimit() - l.inFlight
 	}
-	return waiting >= l.limits.Queue
+	return l.limits.Queue
+}
+
+// planQueue plans the queue, with extra if it is not nil. The mutex is held.
+func (l *Limiter) planQueue(extra *waiter, now time.Time) {
+	l.shares.assess(l.queue.waiters, extra, now)
+	l.free = l.free[:0]
+	for _, slot := range l.running {
+		l.free = append(l.free, slot.expectedEnd(now))
+	}
+	for len(l.free) < l.slotLimit() {
+		l.free = append(l.free, 0)
+	}
+	if surplus := len(l.free) - l.slotLimit(); surplus > 0 { // the limit was lowered: the first ends free no slot
+		slices.Sort(l.free)
+		l.free = l.free[surplus:]
+	}
+	l.queue.plan(extra, l.free, now)
+}
+
+// expectedEnd returns the expected time until the request has ended. One that has outlasted the usual time is expected to
+// run half of that again.
+func (s *Slot) expectedEnd(now time.Time) time.Duration {
+	return max(s.expected-now.Sub(s.started), s.expected/2)
 }
 
 // withRetryAfter sets RetryAfter to the estimated time until all requests queued now have started, and returns refusal.
@@ -263,16 +306,6 @@
 	return refusal
 }
 
-// outranksLast reports whether w may replace the waiter that would get a slot last.
-func (l *Limiter) outranksLast(w *waiter, now time.Time) bool {
-	last := l.queue.lastIndex(now)
-	if last < 0 {
-		return false
-	}
-	w.sequence = l.queue.lastSequence + 1
-	return w.before(l.queue.waiters[last], now)
-}
-
 // canStart reports whether the number of requests in flight and the limit that the target names allow another one to start
 // now.
 func (l *Limiter) canStart(exclusive bool) bool {
@@ -300,10 +333,6 @@
 	return serviceTime + typical*time.Duration(ahead+1)/time.Duration(l.slotLimit())
 }
 
-// hasBacklog reports whether the queue is long enough for a request to leave the region, whose link is billed: half as many
-// requests wait as run at full use, so that a new one waits for half a service time.
-func (l *Limiter) hasBacklog() bool { return 2*len(l.queue.waiters) >= l.slotLimit() }
-
 // maxWait returns the time after which a queued request can no longer be answered before its deadline, or for a
 // request for exclusive use at most ExclusiveWait.
 func (l *Limiter) maxWait(now time.Time, w *waiter) time.Duration {
@@ -319,7 +348,10 @@
 	l.inFlight++
 	l.rate.take(w.Kind)
 	l.exclusive = w.Exclusive
-	return &Slot{limiter: l, exclusive: w.Exclusive, kind: w.Kind, load: l.inFlight, started: now, slow: l.pace.isSlow(now)}
+	slot := &Slot{limiter: l, exclusive: w.Exclusive, kind: w.Kind, expected: w.typicalTime, load: l.inFlight, started: now,
+		slow: l.pace.isSlow(now)}
+	l.running = append(l.running, slot)
+	return slot
 }
 
 // wait blocks until the waiter gets a slot or is refused, maxWait has passed, or the context is done.
@@ -332,6 +364,7 @@
 		return v.slot, v.refusal
 	case <-timer.C:
 		refusal = deadlineUnreachableError()
+		l.countRefusal(w)
 	case <-ctx.Done():
 		refusal = failure.Wrap(ctx.Err(), failure.CallerGone, failure.NotRun, "the caller left the queue")
 	}
@@ -342,6 +375,13 @@
 	return v.slot, v.refusal
 }
 
+// countRefusal counts a request whose deadline became unreachable in the queue.
+func (l *Limiter) countRefusal(w *waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shares.refuse(&w.Request, time.Now())
+}
+
 func deadlineUnreachableError() *failure.Error {
 	return failure.New(failure.DeadlineUnreachable, failure.NotRun, "no slot became free in time")
 }
@@ -362,6 +402,9 @@
 // mutex is held.
 func (l *Limiter) grantQueued() {
 	now := time.Now()
+	if len(l.queue.waiters) > 1 {
+		l.planQueue(nil, now)
+	}
 	for next := l.queue.nextIndex(now); next >= 0 && l.canStart(l.queue.waiters[next].Exclusive); next = l.queue.nextIndex(now) {
 		if l.heldByPace(l.queue.waiters[next], now) {
 			l.schedulePaceRead(now)
@@ -382,8 +425,10 @@
 	w.serviceTime = l.times.estimate(w.Kind, l.slotLimit())
 	if w.Deadline.Sub(now) < w.serviceTime {
 		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
+		l.shares.refuse(&w.Request, now)
 		return result{refusal: deadlineUnreachableError()}
 	}
+	l.shares.grant(&w.Request, now)
 	return result{slot: l.grantSlot(w, now)}
 }
 
@@ -404,6 +449,7 @@
 		l.saturation.record(s.kind, s.load, now.Sub(s.started), l.limits.Slots, now)
 	}
 	l.inFlight--
+	l.running = removeSlot(l.running, s)
 	if s.exclusive {
 		l.exclusive = false
 		l.exclusiveClaimed = false
@@ -414,6 +460,12 @@
 	l.grantQueued()
 }
 
+func removeSlot(running []*Slot, ended *Slot) []*Slot {
+	i, last := slices.Index(running, ended), len(running)-1
+	running[i], running[last] = running[last], nil
+	return running[:last]
+}
+
 // LoadSample returns the current load, with the estimated latency of a request that arrives now.
 func (l *Limiter) LoadSample() wire.LoadSample {
 	l.mu.Lock()
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -10,18 +10,36 @@
 type estimator struct {
 	// byLoad[load-1] is the average in nanoseconds at a load, or 0 if nothing was measured at it.
 	byLoad []float64
-	// byKind holds the average in nanoseconds for each kind of request.
-	byKind map[string]float64
+	// byKind holds the service times of each kind of request.
+	byKind map[string]*kindTimes
 }
 
+// kindTimes holds the service times of one kind in nanoseconds. Few requests that take many times as long as the others
+// determine the mean, but tell little about the next one.
+type kindTimes struct {
+	mean    float64 // moving average
+	typical float64 // moving average of the times up to maxTypicalFactor times its value
+}
+
+// maxTypicalFactor is the multiple of the typical time as which longer times count for it.
+const maxTypicalFactor = 2.0
+
 // maxKinds is the largest number of kinds with an average of their own. Requests of further kinds are treated like
 // requests without a kind.
 const maxKinds = 1024
 
 // estimate returns the average of a kind, or that at the given load if the kind was not measured yet. 0 means unknown.
 func (e *estimator) estimate(kind string, load int) time.Duration {
-	if known, ok := e.byKind[kind]; ok {
-		return time.Duration(known)
+	if known := e.byKind[kind]; known != nil {
+		return time.Duration(known.mean)
+	}
+	return e.averageNear(load)
+}
+
+// typical returns the service time of most requests of a kind, or estimate if the kind was not measured yet.
+func (e *estimator) typical(kind string, load int) time.Duration {
+	if known := e.byKind[kind]; known != nil {
+		return time.Duration(known.typical)
 	}
 	return e.averageNear(load)
 }
@@ -30,15 +48,17 @@
 	if kind == "" {
 		return
 	}
-	old, ok := e.byKind[kind]
+	measured := float64(serviceTime)
+	known := e.byKind[kind]
 	switch {
-	case ok:
-		e.byKind[kind] = old + smoothingFactor*(float64(serviceTime)-old)
+	case known != nil:
+		known.mean += smoothingFactor * (measured - known.mean)
+		known.typical += smoothingFactor * (min(measured, maxTypicalFactor*known.typical) - known.typical)
 	case len(e.byKind) < maxKinds:
 		if e.byKind == nil {
-			e.byKind = map[string]float64{}
+			e.byKind = map[string]*kindTimes{}
 		}
-		e.byKind[kind] = float64(serviceTime)
+		e.byKind[kind] = &kindTimes{mean: measured, typical: measured}
 	}
 }
 
--- a/internal/admission/overflow_test.go
+++ b/internal/admission/overflow_test.go
@@ -80,9 +80,14 @@
 		{every: 90 * time.Millisecond, service: 240 * time.Millisecond, softDeadline: 600 * time.Millisecond, priority: 2},
 	}
 	const length = 20 * time.Second
-	stay := replayRegions([]int{3, 9}, kinds, length, false)
-	leave := replayRegions([]int{3, 9}, kinds, length, true)
-	t.Logf("in time by region and kind: all stay %v, by slack %v", stay, leave)
+	byLength := func(q *queue, w *waiter, slots int, now time.Time) bool {
+		return 2*len(q.waiters) >= slots && w.hasOverflowSlack(now)
+	}
+	stay, _ := replayRegions([]int{3, 9}, kinds, length, func(*queue, *waiter, int, time.Time) bool { return false })
+	former, formerlyLeft := replayRegions([]int{3, 9}, kinds, length, byLength)
+	leave, left := replayRegions([]int{3, 9}, kinds, length, (*queue).leavesRegion)
+	t.Logf("in time by region and kind: all stay %v, by queue length %v, at risk %v; %d and %d left", stay, former, leave, formerlyLeft, left)
+	assert.Assert(t, left < formerlyLeft, "requests that the link is billed for")
 	for kind := range kinds {
 		assert.Assert(t, 10*leave[0][kind] >= 9*leave[1][kind], "kind %d", kind)
 		assert.Assert(t, leave[1][kind] >= stay[1][kind], "kind %d of the region with free slots", kind)
@@ -90,10 +95,40 @@
 	assert.Assert(t, 10*stay[0][1] < 9*stay[1][1], "the simulated load must be one that the short region can't serve alone")
 }
 
-// replayRegions simulates one target for each region with the given slots. Each region gets all workloads. With overflow,
-// requests leave a region with a backlog for a free slot of another one as Limiter.Acquire and its sender decide; the way
-// there and back takes 60 ms. It returns the answers in time by region of the caller and by workload.
-func replayRegions(slots []int, workloads []workload, length time.Duration, overflow bool) [][]int {
+// Guards against requests that cross the billed link because of a queue that they can wait for, and against requests at risk
+// that stay.
+func TestRequestsLeaveRegionOnlyAtRisk(t *testing.T) {
+	const slots, work = 4, 200 * time.Millisecond
+	for _, c := range []struct {
+		softDeadline time.Duration
+		waiting      int
+		want         bool
+	}{
+		{2 * time.Second, 1, false},
+		{2 * time.Second, 4, false},
+		{2 * time.Second, 17, true},
+		{700 * time.Millisecond, 1, false}, // no backlog
+		{700 * time.Millisecond, 4, true},
+		{350 * time.Millisecond, 4, false}, // too late in the other region as well
+	} {
+		var q queue
+		for range c.waiting {
+			q.add(newWaiter(0, time.Hour, work))
+		}
+		for _, w := range q.waiters {
+			w.SoftDeadline = start.Add(c.softDeadline - 1)
+		}
+		free := []time.Duration{work, work, work, work}
+		w := newWaiter(0, c.softDeadline, work)
+		q.plan(w, free, start)
+		assert.Equal(t, q.leavesRegion(w, slots, start), c.want, "%+v", c)
+	}
+}
+
+// replayRegions simulates one target for each region with the given slots. Each region gets all workloads. Requests for which
+// leaves returns true leave their region for a free slot of another one; the way there and back takes 60 ms. It returns the
+// answers in time by region of the caller and by workload, and the number of requests that left.
+func replayRegions(slots []int, workloads []workload, length time.Duration, leaves func(*queue, *waiter, int, time.Time) bool) (answers [][]int, left int) {
 	const step, roundTrip = time.Millisecond, 60 * time.Millisecond
 	type job struct {
 		w      *waiter
@@ -125,12 +160,17 @@
 				if now.Sub(start)%load.every != 0 {
 					continue
 				}
-				w := &waiter{Request: Request{Priority: load.priority, SoftDeadline: now.Add(load.softDeadline)}, serviceTime: load.service}
+				w := &waiter{Request: Request{Priority: load.priority, SoftDeadline: now.Add(load.softDeadline)}, serviceTime: load.service, typicalTime: load.service}
 				jobs[w] = &job{w: w, region: r, kind: kind}
 				other := (r + 1) % len(slots)
-				backlog := 2*len(queues[r].waiters) >= slots[r]
+				var running []time.Duration
+				for _, j := range inService[r] {
+					running = append(running, j.end.Sub(now))
+				}
+				queues[r].plan(w, append(running, make([]time.Duration, slots[r]-len(running))...), now)
 				free := len(inService[other]) < slots[other] && len(queues[other].waiters) == 0
-				if overflow && backlog && free && w.hasOverflowSlack(now) {
+				if free && leaves(&queues[r], w, slots[r], now) {
+					left++
 					jobs[w].end = now.Add(load.service + roundTrip)
 					inService[other] = append(inService[other], jobs[w])
 					continue
@@ -147,5 +187,5 @@
 			}
 		}
 	}
-	return inTime
+	return inTime, left
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,6 +16,11 @@
 	SoftDeadline time.Time
 	// Kind groups requests with similar service times; empty: unknown.
 	Kind string
+	// Tenant is the name of the tenant that the request belongs to; empty: none. Under shortage, requests of tenants that have
+	// got more than they are due yield to others of their priority.
+	Tenant string
+	// TenantWeight is the part that is due to the tenant, in proportion to that of others; 0: unknown.
+	TenantWeight float64
 	// Exclusive requests exclusive use: a slot with no other request at the target.
 	Exclusive bool
 	// HasAlternative is true if the sender can try another target. Such a request is refused instead of queued while the
@@ -33,7 +38,12 @@
 type waiter struct {
 	Request
 	sequence     uint64        // sequence number in order of arrival
-	serviceTime  time.Duration // expected service time; 0: unknown
+	serviceTime  time.Duration // expected service time, the mean of its kind; 0: unknown
+	typicalTime  time.Duration // service time of most requests of its kind; see estimator.typical
+	class        class         // by the last plan
+	start        time.Duration // planned time until the request gets a slot
+	overserved   bool          // its tenant has got more requests through than it is due
+	underserved  bool          // its kind has got far fewer requests through than others
 	refuseIfSlow bool          // may be refused while queued because the target is slow
 	starved      bool          // the next request that the target's limit admits is this kind's; see rateLimit.isStarved
 	result       chan result   // buffered, receives one value
@@ -52,15 +62,15 @@
 
 // late reports whether the answer would miss the soft deadline if the request started now.
 func (w *waiter) late(now time.Time) bool {
-	return !w.SoftDeadline.IsZero() && now.Add(w.serviceTime).After(w.SoftDeadline)
+	return !w.SoftDeadline.IsZero() && now.Add(w.typicalTime).After(w.SoftDeadline)
 }
 
 // before reports whether w gets a slot before other. Priority comes first because of bursts on a service that other
 // services call: without it, short calls on behalf of requests that had already run for long were refused behind long
-// new requests, and the work of their callers was lost. Within a priority, requests that can still meet their soft
-// deadline come first, by earliest soft deadline, so that few miss it while the queue is short; requests that are late
-// already don't take slots from them when the queue is long. Under a limit of the target, a kind that got none of the last
-// requests goes first.
+// new requests, and the work of their callers was lost. Within a priority the classes of the last plan follow, so that as
+// many requests as possible meet their soft deadlines, and within a class the earliest soft deadline, or the order of
+// arrival for requests that are late already. Under a limit of the target, a kind that got none of the last requests goes
+// first.
 func (w *waiter) before(other *waiter, now time.Time) bool {
 	if w.starved != other.starved {
 		return w.starved
@@ -68,20 +78,32 @@
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
 	}
-	late, otherLate := w.late(now), other.late(now)
-	if late != otherLate {
-		return otherLate
+	class, otherClass := w.classAt(now), other.classAt(now)
+	if class != otherClass {
+		return class < otherClass
 	}
-	if !late && !w.SoftDeadline.Equal(other.SoftDeadline) {
+	if class != late && !w.SoftDeadline.Equal(other.SoftDeadline) {
 		return !w.SoftDeadline.IsZero() && (other.SoftDeadline.IsZero() || w.SoftDeadline.Before(other.SoftDeadline))
 	}
 	return w.sequence < other.sequence
 }
 
+// classAt returns the class of the last plan, or late if the soft deadline has become unreachable since.
+func (w *waiter) classAt(now time.Time) class {
+	if w.late(now) {
+		return late
+	}
+	return w.class
+}
+
 // queue holds the waiters in order of arrival. It is not safe for concurrent use and does no I/O.
 type queue struct {
 	waiters      []*waiter
 	lastSequence uint64
+
+	// Scratch buffers of a plan.
+	scratch     []*waiter
+	freeScratch []time.Duration
 }
 
 func (q *queue) add(w *waiter) {
@@ -105,18 +127,6 @@
 	return best
 }
 
-// lastIndex returns the index of the waiter that would get a slot last, or -1 if there is none. Requests for
-// exclusive use are not considered.
-func (q *queue) lastIndex(now time.Time) int {
-	worst := -1
-	for i, w := range q.waiters {
-		if !w.Exclusive && (worst < 0 || q.waiters[worst].before(w, now)) {
-			worst = i
-		}
-	}
-	return worst
-}
-
 // countAhead returns the number of waiters that would get a slot before w.
 func (q *queue) countAhead(w *waiter, now time.Time) int {
 	count := 0
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -11,7 +11,8 @@
 var start = time.Unix(1000, 0)
 
 func newWaiter(priority int, softDeadline, serviceTime time.Duration) *waiter {
-	w := &waiter{Request: Request{Priority: priority, Deadline: start.Add(time.Hour)}, serviceTime: serviceTime}
+	w := &waiter{Request: Request{Priority: priority, Deadline: start.Add(time.Hour)},
+		serviceTime: serviceTime, typicalTime: serviceTime}
 	if softDeadline != 0 {
 		w.SoftDeadline = start.Add(softDeadline)
 	}
@@ -28,7 +29,7 @@
 	for _, w := range []*waiter{late, distant, near, inner} {
 		q.add(w)
 	}
-	assert.Equal(t, q.waiters[q.lastIndex(start)], late)
+	assert.Equal(t, q.waiters[q.evictIndex(start)], late)
 	for _, want := range []*waiter{inner, near, distant, late} {
 		assert.Equal(t, q.remove(q.nextIndex(start)), want)
 	}
@@ -46,17 +47,22 @@
 			q.add(newWaiter(rapid.IntRange(0, 2).Draw(t, "priority"), ms("aim", 0, 400), ms("takes", 0, 300)))
 		}
 		now := start.Add(ms("now", 0, 400))
+		for _, w := range q.waiters {
+			w.overserved, w.underserved = rapid.Bool().Draw(t, "overserved"), rapid.Bool().Draw(t, "underserved")
+		}
+		q.plan(nil, []time.Duration{ms("free", 0, 300), ms("free", 0, 300)}, now)
 		for i, a := range q.waiters {
 			for j, b := range q.waiters {
 				if i != j {
 					assert.Assert(t, a.before(b, now) != b.before(a, now))
+					assert.Assert(t, a.staysBefore(b, now) != b.staysBefore(a, now))
 				}
 			}
 		}
-		first, last := q.nextIndex(now), q.lastIndex(now)
+		first, last := q.nextIndex(now), q.evictIndex(now)
 		for i, w := range q.waiters {
 			assert.Assert(t, i == first || q.waiters[first].before(w, now))
-			assert.Assert(t, i == last || w.before(q.waiters[last], now))
+			assert.Assert(t, i == last || w.staysBefore(q.waiters[last], now))
 		}
 	})
 }
@@ -95,7 +101,7 @@
 			if now.Sub(start)%l.every == 0 {
 				w := &waiter{Request: Request{Priority: l.priority,
 					SoftDeadline: now.Add(l.softDeadline), Deadline: now.Add(3 * l.softDeadline)},
-					serviceTime: l.service}
+					serviceTime: l.service, typicalTime: l.service}
 				workloadIndex[w] = i
 				q.add(w)
 			}
--- a/internal/admission/ratelimit.go
+++ b/internal/admission/ratelimit.go
@@ -209,9 +209,10 @@
 	return l.rate.wait(ahead, now)
 }
 
-// limitDelays reports whether the limit delays the request by more than a way to another region takes. The mutex is held.
+// limitDelays reports whether the limit delays the request by more than a way to another region takes, and the request can
+// meet its soft deadline there. The mutex is held.
 func (l *Limiter) limitDelays(w *waiter, now time.Time) bool {
-	return l.limitWait(l.queue.countAhead(w, now), now) >= overflowTime
+	return w.hasOverflowSlack(now) && l.limitWait(l.queue.countAhead(w, now), now) >= overflowTime
 }
 
 // limitRefusal returns the refusal of a request that the limit does not admit in time, or now.
--- /dev/null
+++ b/internal/admission/replay_test.go
@@ -0,0 +1,387 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// loadKind is a kind of request of a replay. Times are at a target that is not slowed down.
+type loadKind struct {
+	name                  string
+	perSecond             float64
+	work                  time.Duration // of 97 in 100 if tail is set
+	tail                  float64       // factor of the work of 3 in 100; 0: none
+	softTimeout, timeout  time.Duration
+	priority              int
+	tenant                string
+	weight                float64
+	burstFrom, burstUntil time.Duration // between them, burst times as many
+	burst                 float64
+	calls                 int // index of the kind that it calls at the same target after its work; 0: none
+}
+
+// loadResult counts the requests of one kind.
+type loadResult struct{ sent, inTime, served int }
+
+func (r loadResult) share() float64 { return float64(r.inTime) / float64(max(1, r.sent)) }
+
+func (r loadResult) String() string { return fmt.Sprintf("%d/%d/%d", r.inTime, r.served, r.sent) }
+
+// targetReplay simulates one target in steps of 1 ms. With slowPhases its pace is slow in a quarter of the phases of 150 ms,
+// in which no request starts. With slowsDown its service times grow by up to 0.7 beyond four fifths of its slots; without it,
+// the slots are those that such a target has once that limit is learned.
+type targetReplay struct {
+	slots, length int
+	slowPhases    bool
+	slowsDown     bool
+	order         order
+	seed          uint64
+
+	now       time.Time
+	queue     queue
+	shares    shares
+	times     estimator
+	inService []*replayed
+	jobs      map[*waiter]*replayed
+	results   []loadResult
+	kinds     []loadKind
+	random    []*rand.Rand // by kind
+}
+
+// order is the decision that a replay compares.
+type order interface {
+	plan(r *targetReplay, extra *waiter)
+	place(r *targetReplay, w *waiter) placement
+	next(r *targetReplay) int
+	last(r *targetReplay) int
+}
+
+type replayed struct {
+	w       *waiter
+	kind    int
+	work    float64 // in seconds at a target that is not slowed down
+	started time.Time
+	load    int
+	end     time.Time
+	parent  *replayed // waits for the end of this call
+	waits   bool      // for its own call
+}
+
+// present is the order of this version, as the Limiter uses it.
+type present struct{}
+
+func (present) plan(r *targetReplay, extra *waiter) {
+	r.shares.assess(r.queue.waiters, extra, r.now)
+	var free []time.Duration
+	for _, j := range r.inService {
+		s := Slot{expected: j.w.typicalTime, started: j.started}
+		free = append(free, s.expectedEnd(r.now))
+	}
+	for len(free) < r.slots {
+		free = append(free, 0)
+	}
+	r.queue.plan(extra, free, r.now)
+}
+func (present) place(r *targetReplay, w *waiter) placement { return r.queue.place(w, r.length, r.now) }
+func (present) next(r *targetReplay) int                   { return r.queue.nextIndex(r.now) }
+func (present) last(r *targetReplay) int                   { return r.queue.evictIndex(r.now) }
+
+// former is the order before plans, with a queue that is bounded by a length alone: by priority, then by soft deadline,
+// with requests that are late last.
+type former struct{}
+
+func (former) before(w, other *waiter, now time.Time) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
+	}
+	isLate := func(w *waiter) bool { return now.Add(w.serviceTime).After(w.SoftDeadline) }
+	if isLate(w) != isLate(other) {
+		return isLate(other)
+	}
+	if !isLate(w) && !w.SoftDeadline.Equal(other.SoftDeadline) {
+		return w.SoftDeadline.Before(other.SoftDeadline)
+	}
+	return w.sequence < other.sequence
+}
+func (former) plan(*targetReplay, *waiter) {}
+func (f former) place(r *targetReplay, w *waiter) placement {
+	if len(r.queue.waiters) < r.length {
+		return enqueue
+	}
+	w.sequence = r.queue.lastSequence + 1
+	if f.before(w, r.queue.waiters[f.last(r)], r.now) {
+		return replace
+	}
+	return turnAway
+}
+func (f former) next(r *targetReplay) int {
+	best := 0
+	for i, w := range r.queue.waiters {
+		if f.before(w, r.queue.waiters[best], r.now) {
+			best = i
+		}
+	}
+	return best
+}
+func (f former) last(r *targetReplay) int {
+	worst := 0
+	for i, w := range r.queue.waiters {
+		if f.before(r.queue.waiters[worst], w, r.now) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// run replays the load and returns the results by kind.
+func (r *targetReplay) run(kinds []loadKind, length time.Duration) []loadResult {
+	phases := rand.New(rand.NewPCG(r.seed, 11))
+	for i := range kinds {
+		r.random = append(r.random, rand.New(rand.NewPCG(r.seed, uint64(100+i))))
+	}
+	r.kinds, r.results, r.jobs = kinds, make([]loadResult, len(kinds)), map[*waiter]*replayed{}
+	arrivals := make([]time.Time, len(kinds))
+	for i := range arrivals {
+		arrivals[i] = start
+	}
+	slow, drain := false, 5*time.Second
+	for r.now = start; r.now.Before(start.Add(length + drain)); r.now = r.now.Add(time.Millisecond) {
+		if r.now.Sub(start)%period == 0 {
+			slow = r.slowPhases && phases.Float64() < 0.25
+		}
+		r.finish()
+		for i := range kinds {
+			for kinds[i].perSecond > 0 && r.now.Before(start.Add(length)) && !arrivals[i].After(r.now) {
+				r.arrive(i, nil)
+				at, rate := r.now.Sub(start), kinds[i].perSecond
+				if at >= kinds[i].burstFrom && at < kinds[i].burstUntil {
+					rate *= kinds[i].burst
+				}
+				arrivals[i] = arrivals[i].Add(time.Duration(r.random[i].ExpFloat64() / rate * 1e9))
+			}
+		}
+		if !slow {
+			r.startWaiting()
+		}
+	}
+	return r.results
+}
+
+// arrive queues or refuses a new request of a kind, or a call of parent.
+func (r *targetReplay) arrive(kind int, parent *replayed) {
+	k := &r.kinds[kind]
+	r.results[kind].sent++
+	w := &waiter{Request: Request{Kind: k.name, Priority: k.priority, Tenant: k.tenant, TenantWeight: k.weight,
+		SoftDeadline: r.now.Add(k.softTimeout), Deadline: r.now.Add(k.timeout)},
+		serviceTime: r.times.estimate(k.name, r.slots), typicalTime: r.times.typical(k.name, r.slots)}
+	j := &replayed{w: w, kind: kind, parent: parent, work: k.work.Seconds() * (0.8 + 0.4*r.random[kind].Float64())}
+	if tail := r.random[kind].Float64() < 0.03; tail && k.tail > 0 {
+		j.work *= k.tail
+	}
+	r.jobs[w] = j
+	if len(r.queue.waiters) > 0 || len(r.inService) >= r.slots {
+		r.order.plan(r, w)
+	}
+	switch r.order.place(r, w) {
+	case turnAway:
+		r.fail(j)
+		return
+	case replace:
+		r.fail(r.jobs[r.queue.remove(r.order.last(r))])
+	}
+	r.queue.add(w)
+}
+
+// fail ends a request without an answer, and the one that called it.
+func (r *targetReplay) fail(j *replayed) {
+	r.shares.refuse(&j.w.Request, r.now)
+	delete(r.jobs, j.w)
+	if j.parent != nil {
+		r.inService = slices.DeleteFunc(r.inService, func(other *replayed) bool { return other == j.parent })
+		r.fail(j.parent)
+	}
+}
+
+// startWaiting gives the free slots to waiting requests.
+func (r *targetReplay) startWaiting() {
+	for len(r.inService) < r.slots && len(r.queue.waiters) > 0 {
+		if len(r.queue.waiters) > 1 {
+			r.order.plan(r, nil)
+		}
+		w := r.queue.remove(r.order.next(r))
+		j := r.jobs[w]
+		w.serviceTime, w.typicalTime = r.times.estimate(w.Kind, r.slots), r.times.typical(w.Kind, r.slots)
+		if w.Deadline.Sub(r.now) < w.serviceTime {
+			r.fail(j)
+			continue
+		}
+		r.shares.grant(&w.Request, r.now)
+		work := j.work
+		if load := float64(len(r.inService)+1) / float64(r.slots); r.slowsDown && load > 0.8 {
+			work *= 1 + 0.7*(load-0.8)/0.2
+		}
+		j.started, j.load = r.now, len(r.inService)+1
+		j.end = r.now.Add(time.Duration(work * 1e9))
+		r.inService = append(r.inService, j)
+	}
+}
+
+// finish ends the requests whose work is done. One that makes a call keeps its slot until the call has ended.
+func (r *targetReplay) finish() {
+	for _, j := range slices.Clone(r.inService) {
+		if j.waits || r.now.Before(j.end) {
+			continue
+		}
+		if call := r.kinds[j.kind].calls; call > 0 {
+			j.waits = true
+			r.arrive(call, j)
+			continue
+		}
+		r.end(j)
+	}
+}
+
+func (r *targetReplay) end(j *replayed) {
+	r.inService = slices.DeleteFunc(r.inService, func(other *replayed) bool { return other == j })
+	delete(r.jobs, j.w)
+	r.times.record(j.w.Kind, j.load, r.now.Sub(j.started))
+	if !r.now.After(j.w.Deadline) {
+		r.results[j.kind].served++
+	}
+	if !r.now.After(j.w.SoftDeadline) {
+		r.results[j.kind].inTime++
+	}
+	if j.parent != nil {
+		r.end(j.parent)
+	}
+}
+
+// replaySeeds is the number of seeds over which the results of a load are summed.
+const replaySeeds = 4
+
+// compare replays a load in the former and the present order.
+func compare(t *testing.T, settings targetReplay, kinds []loadKind, length time.Duration) (before, after []loadResult) {
+	run := func(o order) []loadResult {
+		results := make([]loadResult, len(kinds))
+		for seed := range uint64(replaySeeds) {
+			r := settings
+			r.order, r.seed = o, seed+1
+			for i, result := range r.run(kinds, length) {
+				results[i] = sum([]loadResult{results[i], result})
+			}
+		}
+		return results
+	}
+	before, after = run(former{}), run(present{})
+	for i, k := range kinds {
+		t.Logf("%s %s in time/served/sent before %v, after %v", k.name, k.tenant, before[i], after[i])
+	}
+	t.Logf("all before %v, after %v", sum(before), sum(after))
+	return before, after
+}
+
+func sum(results []loadResult) (all loadResult) {
+	for _, r := range results {
+		all.inTime += r.inTime
+		all.served += r.served
+		all.sent += r.sent
+	}
+	return all
+}
+
+const ms = time.Millisecond
+
+// Guards against short payments that wait behind long lookups with a heavy tail, and against lookups that are starved by
+// them, at 95% of the capacity that slow phases leave.
+func TestReplayPaymentsBesideLookups(t *testing.T) {
+	kinds := []loadKind{
+		{name: "payment", perSecond: 14, work: 140 * ms, softTimeout: 500 * ms, timeout: 2500 * ms},
+		{name: "read", perSecond: 14, work: 59 * ms, softTimeout: 200 * ms, timeout: 800 * ms, priority: 1},
+		{name: "lookup", perSecond: 4.4, work: 680 * ms, tail: 7, softTimeout: 2500 * ms, timeout: 10 * time.Second, priority: 2},
+	}
+	before, after := compare(t, targetReplay{slots: 9, length: 9, slowPhases: true}, kinds, 60*time.Second)
+	assert.Assert(t, after[0].share() >= 0.95)
+	for i := range kinds {
+		assert.Assert(t, after[i].share() >= before[i].share()-0.01, kinds[i].name)
+	}
+}
+
+// Guards against a burst of one kind beside another of the same priority, in which requests that will be late take the places
+// of others that would not.
+func TestReplayBurstOfOneKind(t *testing.T) {
+	kinds := []loadKind{
+		{name: "check", perSecond: 50, work: 67 * ms, softTimeout: 200 * ms, timeout: 1500 * ms, priority: 1},
+		{name: "lookup", perSecond: 60, work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms, priority: 1,
+			burst: 5, burstFrom: 10 * time.Second, burstUntil: 30 * time.Second},
+	}
+	before, after := compare(t, targetReplay{slots: 9, length: 9, slowsDown: true}, kinds, 40*time.Second)
+	for i := range kinds {
+		assert.Assert(t, 100*after[i].inTime >= 103*before[i].inTime, kinds[i].name)
+	}
+	before, after = compare(t, targetReplay{slots: 7, length: 9}, kinds, 40*time.Second)
+	for i := range kinds {
+		assert.Assert(t, 100*after[i].inTime >= 98*before[i].inTime, kinds[i].name)
+	}
+}
+
+// Guards against a kind that is starved by shorter ones of its priority at 1.7 times the capacity.
+func TestReplaySustainedOverload(t *testing.T) {
+	kinds := []loadKind{
+		{name: "confirm", perSecond: 28, work: 220 * ms, softTimeout: 1500 * ms, timeout: 3000 * ms, priority: 1},
+		{name: "view", perSecond: 20, work: 170 * ms, softTimeout: 600 * ms, timeout: 2500 * ms, priority: 1},
+		{name: "lookup", perSecond: 56, work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms, priority: 1},
+	}
+	starved := func(results []loadResult) bool {
+		all := sum(results)
+		return slices.ContainsFunc(results, func(r loadResult) bool { return 4*r.served*all.sent < all.served*r.sent })
+	}
+	before, after := compare(t, targetReplay{slots: 7, length: 9}, kinds, 60*time.Second)
+	assert.Assert(t, !starved(after) && sum(after).inTime >= sum(before).inTime)
+	before, after = compare(t, targetReplay{slots: 9, length: 9, slowsDown: true}, kinds, 60*time.Second)
+	assert.Assert(t, starved(before) && !starved(after))
+	assert.Assert(t, 100*sum(after).inTime >= 93*sum(before).inTime, "the starved kind is the longest")
+}
+
+// Guards against a tenant that sends many times its usual, within its allotment, and takes the slots of others.
+func TestReplayHotTenant(t *testing.T) {
+	const tenants, hot = 20, 2
+	var kinds []loadKind
+	for i := range tenants {
+		k := loadKind{name: "book", perSecond: 1, work: 120 * ms, softTimeout: 600 * ms, timeout: 2500 * ms, priority: 1,
+			tenant: fmt.Sprintf("t%02d", i)}
+		if i <= hot { // a few large tenants
+			k.perSecond = 6
+		}
+		k.weight = 2 * k.perSecond
+		if i == hot {
+			k.burst, k.burstFrom, k.burstUntil = 7.5, 10*time.Second, 50*time.Second
+		}
+		kinds = append(kinds, k)
+	}
+	before, after := compare(t, targetReplay{slots: 7, length: 9}, kinds, 60*time.Second)
+	others := func(results []loadResult) loadResult { return sum(slices.Delete(slices.Clone(results), hot, hot+1)) }
+	t.Logf("others: before %v, after %v", others(before), others(after))
+	assert.Assert(t, others(before).share() < 0.9, "the load must be one that presses on others")
+	assert.Assert(t, others(after).share() >= 0.95)
+	for i := range kinds {
+		assert.Assert(t, i == hot || after[i].share() >= 0.9*others(after).share(), kinds[i].tenant)
+	}
+	assert.Assert(t, sum(after).inTime >= sum(before).inTime*99/100, "no capacity is lost")
+	assert.Assert(t, after[hot].share() >= 0.25, "the hot tenant gets what the others leave")
+}
+
+// Guards against calls that lead back to a full target and are refused there behind new requests, so that the work of their
+// callers is lost.
+func TestReplayCallsLeadBack(t *testing.T) {
+	kinds := []loadKind{
+		{name: "check", perSecond: 110, work: 67 * ms, softTimeout: 400 * ms, timeout: 1500 * ms, priority: 1, calls: 1},
+		{name: "lookup", work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms, priority: 1},
+	}
+	before, after := compare(t, targetReplay{slots: 7, length: 9}, kinds, 30*time.Second)
+	assert.Assert(t, after[0].inTime >= before[0].inTime)
+}
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -57,6 +57,7 @@
 		}
 		forwarded.rank.Kind, forwarded.rank.Priority, forwarded.rank.SoftDeadline = kind, priority, time.Now().Add(softTimeout)
 	}
+	h.setTenant(r, &forwarded.rank)
 	forwarded.sends, _ = strconv.Atoi(r.Header.Get(wire.Attempts)) // only counted, so an invalid value does no harm
 	if refused := h.parseCall(r, forwarded); refused != nil {
 		return nil, refused
@@ -64,6 +65,21 @@
 	return forwarded, nil
 }
 
+// setTenant sets the tenant that the entry node found by the caller's key, and its weight: its rate in the list in force.
+func (h *Handler) setTenant(r *http.Request, rank *admission.Request) {
+	rank.Tenant = r.Header.Get(wire.TenantName)
+	if rank.Tenant == "" || h.config.View == nil {
+		return
+	}
+	snapshot := h.config.View.Load()
+	if snapshot.List == nil {
+		return
+	}
+	if tenant := snapshot.List.Tenants.ByName(rank.Tenant); tenant != nil {
+		rank.TenantWeight = tenant.Rate
+	}
+}
+
 func notRun(reason failure.Reason, format string, args ...any) *failure.Error {
 	return failure.New(reason, failure.NotRun, format, args...)
 }
