--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,6 +21,8 @@
 	Tenant string
 	// TenantWeight is the part that is due to the tenant, in proportion to that of others; 0: unknown.
 	TenantWeight float64
+	// Sends is the number of targets that the request was sent to so far, this one included; 0: unknown.
+	Sends int
 	// Exclusive requests exclusive use: a slot with no other request at the target.
 	Exclusive bool
 	// HasAlternative is true if the sender can try another target. Such a request is refused instead of queued while the
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -20,7 +20,7 @@
 	overservedMargin = 1.0
 	// underservedRatio is the fraction of the average share of requests that got a slot below which a kind does not yield, and
 	// minKindRequests the number of requests from which its share is known.
-	underservedRatio = 0.3
+	underservedRatio = 0.25
 	minKindRequests  = 4
 )
 
@@ -43,9 +43,13 @@
 	s.count(r, func(counted *share) { counted.granted++ })
 }
 
-// refuse counts a request that was refused.
+// refuse counts a request that was refused, unless it was refused elsewhere before: each request counts once, however many
+// targets it is sent to.
 func (s *shares) refuse(r *Request, now time.Time) {
 	s.decay(now)
+	if r.Sends > 1 {
+		return
+	}
 	s.count(r, func(counted *share) { counted.refused++ })
 }
 
@@ -143,18 +147,14 @@
 	return sum
 }
 
-// isOverserved reports whether the tenant got more requests through than it is due. Tenants without a weight are due equal
-// parts if none has one, and never count as overserved otherwise.
+// isOverserved reports whether the tenant got more requests through than it is due. A tenant without a weight is not limited,
+// and nothing tells what it is due.
 func (s *shares) isOverserved(name string, all share) bool {
 	tenant := s.tenants[name]
-	if tenant == nil || len(s.tenants) < 2 || tenant.weight == 0 && all.weight > 0 {
+	if tenant == nil || len(s.tenants) < 2 || tenant.weight == 0 {
 		return false
 	}
-	part := 1 / float64(len(s.tenants))
-	if all.weight > 0 {
-		part = tenant.weight / all.weight
-	}
-	return tenant.granted > overservedRatio*part*all.granted+overservedMargin
+	return tenant.granted > overservedRatio*all.granted*tenant.weight/all.weight+overservedMargin
 }
 
 // isUnderserved reports whether a kind got a much smaller share of its requests through than all kinds.
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -59,6 +59,7 @@
 	}
 	h.setTenant(r, &forwarded.rank)
 	forwarded.sends, _ = strconv.Atoi(r.Header.Get(wire.Attempts)) // only counted, so an invalid value does no harm
+	forwarded.rank.Sends = forwarded.sends
 	if refused := h.parseCall(r, forwarded); refused != nil {
 		return nil, refused
 	}
--- a/internal/inbound/refusal_test.go
+++ b/internal/inbound/refusal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -256,3 +257,28 @@
 		assert.Equal(t, early.Load(), int64(0), "requests that met the default limits")
 	}
 }
+
+// Guards against requests that lose their tenant between the nodes, and so their part under shortage, and against a tenant that
+// is not in the list in force and gets a part.
+func TestTenantsWeightIsItsRate(t *testing.T) {
+	list := newServiceList(servicelist.Limits{Slots: 9, Queue: 9})
+	list.Tenants = servicelist.NewTenantSet(nil, []*servicelist.Tenant{{Name: "bank", Rate: 12}})
+	node := New(Config{Self: cluster.Member{ID: "n@1", Service: service}, Metrics: telemetry.New(),
+		View: cluster.NewView(&cluster.Snapshot{List: list})})
+	defer node.Close()
+	for name, weight := range map[string]float64{"bank": 12, "unknown": 0, "": 0} {
+		request := httptest.NewRequest(http.MethodGet, wire.ForwardPath+"/", nil)
+		request.Header.Set(wire.Service, service)
+		request.Header.Set(wire.Incarnation, "n@1")
+		request.Header.Set(wire.Idempotent, "1")
+		request.Header.Set(wire.Attempts, "2")
+		if name != "" {
+			request.Header.Set(wire.TenantName, name)
+		}
+		forwarded, refused := node.parse(request)
+		assert.Assert(t, refused == nil)
+		assert.Equal(t, forwarded.rank.Tenant, name)
+		assert.Equal(t, forwarded.rank.TenantWeight, weight)
+		assert.Equal(t, forwarded.rank.Sends, 2)
+	}
+}
