--- a/internal/admission/shares_test.go
+++ b/internal/admission/shares_test.go
@@ -73,6 +73,20 @@
 	})
 }
 
+// Guards against a request that is displaced for another one which is late all the same.
+func TestPlanDisplacesOnlyIfItHelps(t *testing.T) {
+	var q queue
+	yields, long := newWaiter(1, 300*ms, 10*ms), newWaiter(1, 310*ms, 250*ms)
+	yields.overserved = true
+	q.add(yields)
+	q.plan(long, []time.Duration{100 * ms}, start)
+	assert.Equal(t, yields.class, planned)
+	assert.Equal(t, long.class, displaced)
+	q.plan(long, []time.Duration{55 * ms}, start)
+	assert.Equal(t, yields.class, displaced)
+	assert.Equal(t, long.class, planned)
+}
+
 // Guards against a full queue whose places one tenant holds: a request of another tenant takes one of them, and the refused
 // one is told why and when to come back.
 func TestOverservedTenantYieldsItsPlace(t *testing.T) {
