Send a request that would be late on to another target once, for one request in ten

Cause: a few short requests that meet at one target waited there and were late while others had free slots; a refusal as queue-full is charged to the retry budget. Change: the first target of a request that the plan displaces, or that would leave the region, refuses it with wait-too-long, which the entry node takes as a move; at most one in ten of a target's requests. The move counts as a send, so the next target queues it. Replays have a retry budget of a tenth.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,6 +47,7 @@
 	free             []time.Duration // scratch buffer of planQueue
 	queue            queue
 	shares           shares
+	moves            moveBudget
 	times            estimator
 	saturation       saturationDetector
 	agreedLimit      int       // limit chosen by most targets of the service; 0: none
@@ -153,13 +154,14 @@
 
 // Acquire waits for a slot like AcquireByDeadline or, if request.Exclusive is set, like AcquireExclusive. If the queue
 // is full, a request of higher rank replaces the one of lowest rank in it. Besides the reasons of AcquireByDeadline, an
-// error can have the reasons target-slow and target-failing if request.HasAlternative is set, target-busy if
+// error can have the reasons target-slow, target-failing and wait-too-long if request.HasAlternative is set, target-busy if
 // request.CanOverflow is set, and target-limited if the limit that the target names does not admit the request now or, for
 // one without an alternative, in time; see limitAdmitsInTime.
 func (l *Limiter) Acquire(ctx context.Context, request Request) (*Slot, *failure.Error) {
 	now := time.Now()
 	w := &waiter{Request: request, result: make(chan result, 1)}
 	l.mu.Lock()
+	l.moves.earn()
 	w.serviceTime = l.times.estimate(request.Kind, l.slotLimit())
 	w.typicalTime = l.times.typical(request.Kind, l.slotLimit())
 	l.rate.refill(now)
@@ -201,6 +203,12 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
+	if !held && l.queue.triesAnother(w, l.slotLimit(), now) && l.moves.spend() {
+		refusal := l.withRetryAfter(
+			failure.New(failure.WaitTooLong, failure.NotRun, "%d requests run and %d wait%s", l.inFlight, len(l.queue.waiters), w.shareNote()))
+		l.mu.Unlock()
+		return nil, refusal
+	}
 	if w.CanOverflow && !w.Exclusive && !held && (l.queue.leavesRegion(w, l.slotLimit(), now) || l.limitDelays(w, now)) {
 		refusal := failure.New(failure.TargetBusy, failure.NotRun, "%d requests run and %d wait", l.inFlight, len(l.queue.waiters))
 		l.mu.Unlock()
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -210,6 +210,39 @@
 	return first
 }
 
+// triesAnother reports whether a request that was planned with the queue of a target with the given slots goes on to another
+// target of its region instead of waiting: it would miss its soft deadline here, or leave the region. That costs one hop, so
+// only its first target sends it on. It answers short requests of which a few meet at one target while others have free slots.
+func (q *queue) triesAnother(w *waiter, slots int, now time.Time) bool {
+	if w.Sends != 1 || !w.HasAlternative || w.Exclusive || w.Overflow {
+		return false
+	}
+	return w.class == displaced || w.CanOverflow && q.leavesRegion(w, slots, now)
+}
+
+const (
+	// movesPerRequest is the part of the requests of a target that may be sent on to another one. Each such hop costs processor
+	// time, which is short when targets are.
+	movesPerRequest = 0.1
+	// maxSavedMoves is the number of requests that may be sent on at once.
+	maxSavedMoves = 10
+)
+
+// moveBudget bounds the requests that a target sends on to others; see queue.triesAnother.
+type moveBudget struct{ moves float64 }
+
+// earn counts a request of the target.
+func (b *moveBudget) earn() { b.moves = min(b.moves+movesPerRequest, maxSavedMoves) }
+
+// spend takes one move from the budget and reports whether there was one.
+func (b *moveBudget) spend() bool {
+	if b.moves < 1 {
+		return false
+	}
+	b.moves--
+	return true
+}
+
 // homeSlackDivisor is the part of its slack that a request may be planned to wait in its own region without leaving it. Plans
 // are estimates: beyond that, too many requests miss their soft deadlines.
 const homeSlackDivisor = 2
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -33,7 +33,7 @@
 func (r loadResult) String() string { return fmt.Sprintf("%d/%d/%d", r.inTime, r.served, r.sent) }
 
 // targetReplay simulates targets in steps of 1 ms. Requests go to the less loaded one of two, and after a refusal to others,
-// up to maxReplayedSends in all. With slowPhases the pace of each target is slow in a quarter of the phases of 150 ms, in which
+// up to maxReplayedSends in all and within a retry budget. With slowPhases the pace of each target is slow in a quarter of the phases of 150 ms, in which
 // no request starts. With slowsDown service times grow by up to 0.7 beyond four fifths of the slots; without it, the slots are
 // those that such a target has once that limit is learned.
 type targetReplay struct {
@@ -50,15 +50,23 @@
 	kinds   []loadKind
 	random  []*rand.Rand // by kind
 	choices *rand.Rand
+	budget  float64
+	moves   int // requests that their first target sent on
 }
 
-// maxReplayedSends is the number of targets that a request of a replay is sent to.
-const maxReplayedSends = 3
+// maxReplayedSends is the number of targets that a request of a replay is sent to, replayedBudget the number of retries that
+// each request adds to the budget, and replayedBurst the most that it holds.
+const (
+	maxReplayedSends = 3
+	replayedBudget   = 0.1
+	replayedBurst    = 20
+)
 
 // replayTarget is one target of a replay.
 type replayTarget struct {
 	queue     queue
 	shares    shares
+	moves     moveBudget
 	times     estimator
 	inService []*replayed
 	slow      bool
@@ -72,6 +80,7 @@
 	place(r *targetReplay, t *replayTarget, w *waiter) placement
 	next(r *targetReplay, t *replayTarget) int
 	last(r *targetReplay, t *replayTarget) int
+	triesAnother(r *targetReplay, t *replayTarget, w *waiter) bool
 }
 
 type replayed struct {
@@ -84,6 +93,7 @@
 	parent  *replayed // waits for the end of this call
 	waits   bool      // for its own call
 	at      *replayTarget
+	moved   bool // the next send is not charged to the budget
 	tried   []*replayTarget
 }
 
@@ -108,6 +118,10 @@
 func (present) next(r *targetReplay, t *replayTarget) int { return t.queue.nextIndex(r.now) }
 func (present) last(r *targetReplay, t *replayTarget) int { return t.queue.evictIndex(r.now) }
 
+func (present) triesAnother(r *targetReplay, t *replayTarget, w *waiter) bool {
+	return t.queue.triesAnother(w, r.slots, r.now) && t.moves.spend()
+}
+
 // former is the order before plans, with a queue that is bounded by a length alone: by priority, then by soft deadline,
 // with requests that are late last.
 type former struct{}
@@ -125,7 +139,8 @@
 	}
 	return w.sequence < other.sequence
 }
-func (former) plan(*targetReplay, *replayTarget, *waiter) {}
+func (former) triesAnother(*targetReplay, *replayTarget, *waiter) bool { return false }
+func (former) plan(*targetReplay, *replayTarget, *waiter)              {}
 func (f former) place(r *targetReplay, t *replayTarget, w *waiter) placement {
 	if len(t.queue.waiters) < r.length {
 		return enqueue
@@ -202,7 +217,7 @@
 	k := &r.kinds[kind]
 	r.results[kind].sent++
 	w := &waiter{Request: Request{Kind: k.name, Priority: k.priority, Tenant: k.tenant, TenantWeight: k.weight,
-		SoftDeadline: r.now.Add(k.softTimeout), Deadline: r.now.Add(k.timeout)}}
+		SoftDeadline: r.now.Add(k.softTimeout), Deadline: r.now.Add(k.timeout), HasAlternative: len(r.targets) > 1}}
 	j := &replayed{w: w, kind: kind, parent: parent, work: k.work.Seconds() * (0.8 + 0.4*r.random[kind].Float64())}
 	if tail := r.random[kind].Float64() < 0.03; tail && k.tail > 0 {
 		j.work *= k.tail
@@ -213,10 +228,17 @@
 // send sends a request to a target that it was not sent to yet, or fails it.
 func (r *targetReplay) send(j *replayed) {
 	untried := slices.DeleteFunc(slices.Clone(r.targets), func(t *replayTarget) bool { return slices.Contains(j.tried, t) })
-	if len(untried) == 0 || len(j.tried) == maxReplayedSends {
+	if len(j.tried) == 0 {
+		r.budget = min(r.budget+replayedBudget, replayedBurst)
+	} else if !j.moved {
+		r.budget--
+	}
+	if len(untried) == 0 || len(j.tried) == maxReplayedSends || r.budget < 0 {
+		r.budget = max(r.budget, 0)
 		r.fail(j)
 		return
 	}
+	j.moved = false
 	t, other := untried[r.choices.IntN(len(untried))], untried[r.choices.IntN(len(untried))]
 	if other.load() < t.load() {
 		t = other
@@ -231,9 +253,16 @@
 	w := j.w
 	w.serviceTime, w.typicalTime = t.times.estimate(w.Kind, r.slots), t.times.typical(w.Kind, r.slots)
 	r.jobs[w] = j
+	t.moves.earn()
 	if len(t.queue.waiters) > 0 || len(t.inService) >= r.slots {
 		r.order.plan(r, t, w)
 	}
+	if r.order.triesAnother(r, t, w) {
+		j.moved = true
+		r.moves++
+		r.send(j)
+		return
+	}
 	placed := r.order.place(r, t, w)
 	if placed == turnAway {
 		t.shares.refuse(&w.Request, r.now)
@@ -450,36 +479,42 @@
 	for name, load := range map[string]struct {
 		replay targetReplay
 		kinds  []loadKind
+		least  int // answers in time, in percent of those in the former order; 0: 99
 	}{
 		"ranks, 1.5 times": {targetReplay{slots: 9, length: 9}, []loadKind{
 			{name: "check", perSecond: 40, work: 55 * ms, softTimeout: 150 * ms, timeout: 1500 * ms, priority: 1},
 			{name: "lookup", perSecond: 12, work: 550 * ms, softTimeout: 1500 * ms, timeout: 5000 * ms, priority: 2},
 			{name: "report", perSecond: 5, work: 880 * ms, tail: 5, softTimeout: 2000 * ms, timeout: 6000 * ms, priority: 2},
-		}},
+		}, 102},
+		"short beside long, 0.9 and slow phases": {targetReplay{slots: 9, length: 9, slowPhases: true}, []loadKind{
+			{name: "payment", perSecond: 14, work: 140 * ms, softTimeout: 500 * ms, timeout: 2500 * ms},
+			{name: "read", perSecond: 14, work: 59 * ms, softTimeout: 200 * ms, timeout: 800 * ms, priority: 1},
+			{name: "lookup", perSecond: 4, work: 680 * ms, tail: 7, softTimeout: 2500 * ms, timeout: 10 * time.Second, priority: 2},
+		}, 0},
 		"one rank, 0.9 and slow phases": {targetReplay{slots: 9, length: 9, slowPhases: true}, []loadKind{
 			{name: "view", perSecond: 18, work: 170 * ms, softTimeout: 600 * ms, timeout: 2500 * ms},
 			{name: "confirm", perSecond: 10, work: 220 * ms, softTimeout: 1500 * ms, timeout: 3000 * ms},
 			{name: "lookup", perSecond: 20, work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms},
-		}},
+		}, 0},
 		"one rank, burst": {targetReplay{slots: 9, length: 9}, []loadKind{
 			{name: "view", perSecond: 25, work: 170 * ms, softTimeout: 600 * ms, timeout: 2500 * ms,
 				burst: 4, burstFrom: 5 * time.Second, burstUntil: 15 * time.Second},
 			{name: "lookup", perSecond: 40, work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms},
-		}},
+		}, 0},
 		"one rank, 1.7 times": {targetReplay{slots: 7, length: 9}, []loadKind{
 			{name: "confirm", perSecond: 28, work: 220 * ms, softTimeout: 1500 * ms, timeout: 3000 * ms},
 			{name: "view", perSecond: 20, work: 170 * ms, softTimeout: 600 * ms, timeout: 2500 * ms},
 			{name: "lookup", perSecond: 56, work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms},
-		}},
+		}, 0},
 		"calls lead back": {targetReplay{slots: 9, length: 9}, []loadKind{
 			{name: "check", perSecond: 90, work: 67 * ms, softTimeout: 400 * ms, timeout: 1500 * ms, calls: 1},
 			{name: "lookup", work: 42 * ms, softTimeout: 150 * ms, timeout: 500 * ms},
-		}},
+		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			load.replay.count = targets
 			before, after := compare(t, load.replay, load.kinds, 20*time.Second)
-			assert.Assert(t, 100*sum(after).inTime >= 98*sum(before).inTime)
+			assert.Assert(t, 100*sum(after).inTime >= max(99, load.least)*sum(before).inTime)
 			for i, k := range load.kinds {
 				assert.Assert(t, 100*after[i].inTime >= 93*before[i].inTime, k.name)
 			}
--- a/internal/admission/shares_test.go
+++ b/internal/admission/shares_test.go
@@ -123,6 +123,48 @@
 	})
 }
 
+// Guards against a request that waits although it will be late and another target may be free; and against one that is sent
+// on twice, without another target, or while too many are: each hop costs processor time.
+func TestFirstTargetSendsLateRequestsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := New(Limits{Slots: 1, Queue: 9})
+		request := func(sends int, hasAlternative bool) Request {
+			now := time.Now()
+			return Request{Kind: "k", Sends: sends, HasAlternative: hasAlternative, SoftDeadline: now.Add(110 * ms), Deadline: now.Add(time.Minute)}
+		}
+		for range 30 { // earn moves and learn the service time
+			slot, refusal := limiter.Acquire(context.Background(), request(1, true))
+			assert.Assert(t, refusal == nil)
+			time.Sleep(100 * ms)
+			slot.Release(true)
+		}
+		busy, refusal := limiter.Acquire(context.Background(), request(1, true))
+		assert.Assert(t, refusal == nil)
+		for range 3 {
+			_, refusal := limiter.Acquire(context.Background(), request(1, true))
+			assert.Equal(t, refusal.Reason, failure.WaitTooLong)
+			assert.Equal(t, refusal.Outcome, failure.NotRun)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		}
+		waiting := make(chan *failure.Error)
+		for _, r := range []Request{request(2, true), request(1, false), request(1, true)} { // the last one exceeds the budget
+			go func() {
+				slot, refusal := limiter.Acquire(context.Background(), r)
+				if slot != nil {
+					slot.Release(false)
+				}
+				waiting <- refusal
+			}()
+			synctest.Wait()
+		}
+		assert.Equal(t, limiter.LoadSample().Queued, 3)
+		busy.Release(true)
+		for range 3 {
+			assert.Assert(t, <-waiting == nil)
+		}
+	})
+}
+
 // BenchmarkPlan measures a plan of a full queue beyond the capacity.
 func BenchmarkPlan(b *testing.B) {
 	var q queue
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -230,7 +230,7 @@
 		s.refusedUntil = now.Add(slowCooldown)
 	case failure.TargetFailing:
 		s.refusedUntil = now.Add(failureCooldown)
-	case failure.QueueFull, failure.DeadlineUnreachable, failure.AttemptLedgerFull:
+	case failure.QueueFull, failure.WaitTooLong, failure.DeadlineUnreachable, failure.AttemptLedgerFull:
 		s.refusedUntil = now.Add(refusalCooldown)
 	}
 }
--- a/internal/entry/overflow_test.go
+++ b/internal/entry/overflow_test.go
@@ -163,6 +163,18 @@
 	}
 }
 
+// Guards against calls that each target sends on because they would wait too long there: the next target must see that it is not
+// the first. Moves for other reasons are bounded by maxMoves.
+func TestMoveForWaitIsCountedAsSend(t *testing.T) {
+	h := New(Config{Metrics: telemetry.New()})
+	for reason, want := range map[failure.Reason]int{failure.WaitTooLong: 1, failure.TargetSlow: 0, failure.TargetBusy: 0} {
+		c := &call{rule: ordersRule()[0], deadline: time.Now().Add(time.Minute), body: &requestBody{}, sends: 1}
+		assert.Assert(t, h.allowMove(c, result{failed: failure.New(reason, failure.NotRun, "refused")}))
+		assert.Equal(t, c.sends, want, string(reason))
+		assert.Equal(t, c.reached, 0)
+	}
+}
+
 // Guards against calls that try all full members of a service in a burst: a third one seldom has room, and the sends cost
 // processor time that the other calls need. The retry budget limits such sends.
 func TestRefusalsByFullQueuesAreCharged(t *testing.T) {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -60,7 +60,7 @@
 		return h.launchRetry(ctx, c, policy, results) == nil
 	}
 	if !res.endsInRegion() && h.allowRetry(c, policy, res) {
-		if res.failed.Reason == failure.TargetBusy && h.launchOverflow(ctx, c, policy, results) == nil {
+		if h.launchElsewhere(ctx, c, policy, res, results) {
 			return true
 		}
 		if h.launchRetry(ctx, c, policy, results) == nil {
@@ -71,6 +71,19 @@
 	return h.allowOverflow(c, res) && h.launchOverflow(ctx, c, policy, results) == nil
 }
 
+// launchElsewhere starts the next attempt of a call that its target would answer too late, and reports whether it did: in
+// another region if the target said that its region is busy, and at another target first if it only sent the call on.
+func (h *Handler) launchElsewhere(ctx context.Context, c *call, policy *Policy, res result, results chan<- result) bool {
+	switch res.failed.Reason {
+	case failure.TargetBusy:
+		return h.launchOverflow(ctx, c, policy, results) == nil
+	case failure.WaitTooLong:
+		return h.launch(ctx, c, policy, results) == nil ||
+			h.canOverflowEarly(c, policy) && h.launchOverflow(ctx, c, policy, results) == nil
+	}
+	return false
+}
+
 // endsInRegion reports whether no member of the region admits the call: the one that accepts the next request refused it by
 // its target's limit. A further try there would only repeat the refusal.
 func (r *result) endsInRegion() bool {
@@ -216,9 +229,11 @@
 }
 
 // allowMove reports whether a call may move away from a target that is slow or failing. The target did not run the call,
-// so the next send is neither counted nor charged as a retry.
+// so the next send is neither charged as a retry nor, with one exception, counted.
 func (h *Handler) allowMove(c *call, res result) bool {
-	c.sends--
+	if res.failed.Reason != failure.WaitTooLong { // counted, so that only the first target sends a call on for this reason
+		c.sends--
+	}
 	c.movedFrom = append(c.movedFrom, res.memberID)
 	if h.stopped.Err() != nil || c.remaining() <= 0 || !c.body.replayable() {
 		return false
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -49,6 +49,7 @@
 	TargetSlow            Reason = "target-slow"    // the target is slow at the moment; another may be faster
 	TargetFailing         Reason = "target-failing" // the target fails most requests; another may succeed
 	TargetBusy            Reason = "target-busy"    // no slot is free, and another region may have one
+	WaitTooLong           Reason = "wait-too-long"  // the request would miss its soft deadline in the queue; another target may be free
 	TargetLimited         Reason = "target-limited" // the target's own limit admits no request now; another may have room
 	ZoneEvacuated         Reason = "zone-evacuated" // targets of the availability zone get no requests, by the operators' order
 
@@ -92,5 +93,5 @@
 
 // IsMove reports whether a request refused for this reason is sent to another target. Such a request has not run.
 func (r Reason) IsMove() bool {
-	return r == TargetSlow || r == TargetFailing || r == TargetBusy || r == TargetLimited
+	return r == TargetSlow || r == TargetFailing || r == TargetBusy || r == WaitTooLong || r == TargetLimited
 }
