Judge the age of the list only under a bound for withdrawn keys

Cause: nodes pass proofs of the list's age on only if a bound is set; without one the age grows at every follower, and unknown keys would get 503 for good. With a bound proofs are up to 2.5 s old in ordinary operation, the limit for 401. Change: without a bound the list in force decides; 401 is given up to 3 s, the time in which a list must be in force.

--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -17,9 +17,10 @@
 	bearerScheme        = "bearer"
 	// maxClockDrift is the relative difference between the clocks of two machines that the bound for withdrawn keys allows for.
 	maxClockDrift = 0.01
-	// maxUnknownKeyAge is the greatest age of the proof that the list is the newest with which an unknown key is refused for
-	// good. It is below the time in which a new list must be in force on every node: a key added before that is then known.
-	maxUnknownKeyAge = 2500 * time.Millisecond
+	// maxUnknownKeyAge is the age of the proof that the list is the newest below which an unknown key is refused for good: the
+	// time in which a new list must be in force on every node. A key that was added longer ago is then known. In ordinary
+	// operation a proof is up to 2.5 s old.
+	maxUnknownKeyAge = 3 * time.Second
 	// unconfirmedRetryAfter is the time after which a node that can't confirm its list may have found a new source for it: the
 	// interval at which it searches for one.
 	unconfirmedRetryAfter = time.Second
@@ -102,10 +103,11 @@
 	return regions, restricted
 }
 
-// listAge returns the time for which the list in force has not been known to be the newest one. It is read before the list:
-// a list that is put in force in between is at least as new as the proof.
+// listAge returns the time for which the list in force has not been known to be the newest one, 0 if no bound for withdrawn
+// keys asks for it: nodes pass such proofs on only then. It is read before the list: a list that is put in force in between
+// is at least as new as the proof.
 func (h *Handler) listAge() time.Duration {
-	if h.config.ListConfirmed == nil {
+	if h.config.ListConfirmed == nil || h.config.KeyWithdrawalBound == 0 {
 		return 0
 	}
 	return h.config.ListConfirmed()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -41,7 +41,8 @@
 	// Allotments enforces the rates of tenants; nil: they are not enforced.
 	Allotments Allotments
 	// ListConfirmed returns the time since which the list in force is not known to be the newest one: the age of the last
-	// proof of that. It must also grow while the machine is suspended. nil: the list counts as confirmed.
+	// proof of that. It must also grow while the machine is suspended. It is called only with a KeyWithdrawalBound. nil: the
+	// list counts as confirmed.
 	ListConfirmed func() time.Duration
 	// KeyWithdrawalBound is the time after which a withdrawn API key must not be accepted any more. Requests with a key are
 	// refused while ListConfirmed is not below it; 0: no bound.
