Serve callers with a server of our own that runs pipelined requests beside each other

Cause: internal/framing inspected only the first request of a connection, so a request with Content-Length and Transfer-Encoding that was sent behind a GET in one write was served (request smuggling). net/http serves the requests of a connection one after the other, so pipelined idempotent requests wait for each other. Nothing bounded what callers make the process hold before their requests are placed.

Change: internal/callerhttp serves the entry listener: strict parser of heads, exchanges in order, requests that the list in force allows to be repeated run beside each other (16 a connection), bounds on memory, connections and header lines (caller_memory, caller_connections, caller_header_lines, descriptors). framing.Handler is a Refuser, through which faults are answered in the entry's form. All other listeners stay on net/http.

--- /dev/null
+++ b/internal/callerhttp/order.go
@@ -0,0 +1,231 @@
+package callerhttp
+
+import (
+	"net"
+	"time"
+
+	"github.com/acacialock/acacialock/internal/framing"
+)
+
+const (
+	// maxOverlapping is the greatest number of requests of one connection in progress.
+	maxOverlapping = 16
+	// maxBufferedBytes limits the answers of one connection that wait for those before them: maxOverlapping answers of 32 KiB.
+	// A handler that has more to write waits.
+	maxBufferedBytes = maxOverlapping * 32 << 10
+)
+
+// send writes a part of an answer to the connection or, while answers before it are not complete, to a buffer. It waits while
+// the buffered answers of the connection or of all connections have reached their limit.
+func (c *conn) send(e *exchange, parts ...[]byte) error {
+	c.mu.Lock()
+	for !e.first {
+		if c.closed || e.aborted {
+			c.mu.Unlock()
+			return net.ErrClosed
+		}
+		if c.store(e, parts) {
+			c.mu.Unlock()
+			return nil
+		}
+		c.waiting++
+		c.changed.Wait()
+		c.waiting--
+	}
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return net.ErrClosed
+	}
+	if err := c.write(parts); err != nil {
+		c.callerLeft()
+		return err
+	}
+	return nil
+}
+
+// write writes the parts at once.
+func (c *conn) write(parts [][]byte) error {
+	if len(parts) == 1 {
+		_, err := c.net.Write(parts[0])
+		return err
+	}
+	buffers := net.Buffers(parts)
+	_, err := buffers.WriteTo(c.net)
+	return err
+}
+
+// store appends the parts to the buffer of an answer that is not first, and reports whether they fit. The caller holds mu.
+func (c *conn) store(e *exchange, parts [][]byte) bool {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	if c.outBytes+size > maxBufferedBytes || !c.server.reserve(size) {
+		return false
+	}
+	c.outBytes += size
+	if e.out == nil {
+		e.out = make([]byte, 0, max(size, min(size+int(max(e.answer.length-e.answer.written, 0)), maxBufferedBytes)))
+	}
+	for _, part := range parts {
+		e.out = append(e.out, part...)
+	}
+	return true
+}
+
+// announceClose decides whether the answer of e, whose header is complete now, says that the connection is closed. An answer
+// that wants that and has others in progress behind it leaves it to the last of them, since those would be lost. No request is
+// started beside those in progress then.
+func (c *conn) announceClose(e *exchange, wants bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !wants && !c.closing && !c.server.draining.Load() {
+		return false
+	}
+	c.stopStarting = true
+	if len(c.queue) > 0 && c.queue[len(c.queue)-1] != e {
+		return false
+	}
+	e.closes = true
+	c.closing = true
+	return true
+}
+
+// complete marks the answer of e as complete. If it is the first one, the answers behind it are written as far as they are.
+func (c *conn) complete(e *exchange) {
+	c.mu.Lock()
+	e.done = true
+	c.advance(e)
+}
+
+// abort marks the answer of e as one that stays incomplete. The requests behind it can't be answered any more.
+func (c *conn) abort(e *exchange) {
+	c.mu.Lock()
+	e.done, e.aborted = true, true
+	c.closing = true
+	behind := false
+	for _, other := range c.queue {
+		if behind {
+			other.cancel()
+			other.aborted = true
+		}
+		behind = behind || other == e
+	}
+	c.changed.Broadcast()
+	c.advance(e)
+}
+
+// advance removes the complete exchanges at the start of the queue and writes what the next ones have buffered. The exchange
+// that becomes the first one writes for itself from then on. The caller holds mu, which advance releases.
+func (c *conn) advance(e *exchange) {
+	if !e.first {
+		c.mu.Unlock()
+		return
+	}
+	for len(c.queue) > 0 && c.queue[0].done && !c.closed {
+		ended := c.queue[0]
+		c.dequeue()
+		if ended.aborted || ended.closes || ended.fault != framing.NoFault {
+			c.endAfter(ended)
+			return
+		}
+		if len(c.queue) > 0 && !c.writeBuffered() {
+			c.endAfter(nil)
+			return
+		}
+	}
+	closes := c.closed || c.closing && len(c.queue) == 0
+	if len(c.queue) == 0 {
+		c.idle()
+	}
+	c.wake()
+	c.mu.Unlock()
+	if closes {
+		c.close()
+	}
+}
+
+// dequeue removes the first exchange. The caller holds mu.
+func (c *conn) dequeue() {
+	c.served = true
+	copy(c.queue, c.queue[1:])
+	c.queue[len(c.queue)-1] = nil
+	c.queue = c.queue[:len(c.queue)-1]
+}
+
+// writeBuffered writes what the next exchanges have buffered, up to the first that is not complete, and makes the next one the
+// first. It reports whether the connection can be written to. The caller holds mu, which is released during writes.
+func (c *conn) writeBuffered() bool {
+	next := c.queue[0]
+	for {
+		var parts [][]byte
+		size := 0
+		for _, e := range c.queue {
+			if len(e.out) > 0 {
+				parts = append(parts, e.out)
+				size += len(e.out)
+				e.out = nil
+			}
+			if !e.done || e.aborted || e.closes {
+				break
+			}
+		}
+		if size == 0 {
+			next.first = true
+			return true
+		}
+		c.mu.Unlock()
+		err := c.write(parts)
+		c.server.unreserve(size)
+		c.mu.Lock()
+		c.outBytes -= size
+		if err != nil || c.closed {
+			return false
+		}
+	}
+}
+
+// endAfter closes the connection after an exchange that ends it, or after a failed write for nil. What is behind is not answered.
+// The caller holds mu, which endAfter releases.
+func (c *conn) endAfter(e *exchange) {
+	c.closing = true
+	if e != nil && !e.aborted && (e.fault != framing.NoFault || len(c.queue) > 0 || c.heldBack != nil) {
+		c.lingers = true
+	}
+	c.wake()
+	c.mu.Unlock()
+	c.close()
+	c.dropBuffered()
+}
+
+// dropBuffered frees the buffered answers of a closed connection.
+func (c *conn) dropBuffered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.queue {
+		e.out = nil
+	}
+	c.server.unreserve(c.outBytes)
+	c.outBytes = 0
+}
+
+// idle starts the time limit of a connection without a request in progress. The caller holds mu.
+func (c *conn) idle() {
+	now := time.Now()
+	c.since, c.idleUntil = now, now.Add(c.server.idleTimeout())
+	c.stopStarting = false
+	if c.headUntil.IsZero() && !c.interruptible {
+		c.arm(c.idleUntil)
+	}
+}
+
+// wake lets those continue that wait for an exchange to be completed. The caller holds mu.
+func (c *conn) wake() {
+	if c.waiting > 0 {
+		c.changed.Broadcast()
+	}
+	if c.interruptible && (c.heldBack == nil || c.closing || c.mayStart(c.heldBack)) {
+		c.setDeadline(longPast)
+	}
+}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -18,7 +18,9 @@
 		func() { d.metrics.Counter("panic.handler").Inc(1) },
 		serving.Listener{
 			Name: "entry", Addr: d.settings.EntryAddr, Limits: d.entry.CallerLimits, DrainOnShutdown: true,
-			Handler: framing.Handler(framing.CloseConnectionsWhile(&d.draining, d.entry), d.entry.RefuseHeader),
+			Handler:    framing.Handler(framing.CloseConnectionsWhile(&d.draining, d.entry), d.entry.RefuseHeader),
+			MayOverlap: d.entry.MayOverlap, Bounds: d.settings.CallerBounds(),
+			Count: func(name string) { d.metrics.Counter(name).Inc(1) },
 		},
 		serving.Listener{Name: "peer", Addr: d.settings.PeerAddr, Handler: d.peerHandler(), DrainOnShutdown: true},
 		serving.Listener{Name: "admin", Addr: d.settings.AdminAddr, Handler: d.adminHandler()},
--- a/internal/entry/framing_test.go
+++ b/internal/entry/framing_test.go
@@ -138,3 +138,28 @@
 	assert.Assert(t, status == 0 || status == http.StatusBadGateway, "status %d", status)
 	assert.Assert(t, closed)
 }
+
+// Guards against a request with two body lengths that is served because it was sent behind another request in one write: the
+// part after its body would be parsed as a request of its own (request smuggling).
+func TestConflictingLengthsBehindARequest(t *testing.T) {
+	f := newFixture(t, 1, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	conn, err := net.Dial("tcp", startCallerListener(t, f.handler))
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: orders\r\nX-Order: first\r\n\r\n"+
+		"POST / HTTP/1.1\r\nHost: orders\r\nX-Order: second\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+
+		"GET / HTTP/1.1\r\nHost: orders\r\nX-Order: smuggled\r\n\r\n")
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusOK, http.StatusBadRequest} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, want)
+	}
+	_, err = reader.ReadByte()
+	assert.Assert(t, err != nil, "the connection is closed")
+	assert.Equal(t, f.runCount("second")+f.runCount("smuggled"), int64(0))
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -83,16 +83,37 @@
 	}
 }
 
-// RefuseHeader responds to a request whose header is too large or has both Content-Length and Transfer-Encoding.
+// RefuseHeader responds to a request whose header has a fault.
 func (h *Handler) RefuseHeader(w http.ResponseWriter, request *http.Request, fault framing.Fault) {
-	failed := failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
-	if fault == framing.HeaderTooLarge {
+	var failed *failure.Error
+	switch fault {
+	case framing.HeaderTooLarge:
 		failed = failure.New(failure.HeaderTooLarge, failure.NotRun, "the header is longer than the service list allows")
+	case framing.ConflictingLengths:
+		failed = failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
+	default:
+		failed = failure.New(failure.BadRequest, failure.NotRun, "the header is malformed")
 	}
 	h.logRefusal(request, failed)
 	h.refuse(w, failed)
 }
 
+// MayOverlap reports whether the request may be started before those ahead of it on its connection are answered: the list in
+// force says that it may be run more than once.
+func (h *Handler) MayOverlap(request *http.Request) bool {
+	snapshot := h.config.View.Load()
+	if snapshot.List == nil {
+		return false
+	}
+	host := hostName(request.Host)
+	if snapshot.List.Rules.Len() > 0 {
+		rule := snapshot.List.Rules.Match(host, request.URL.Path)
+		return rule != nil && rule.Idempotent
+	}
+	service := snapshot.Service(host)
+	return service != nil && service.IsIdempotent(request.Method, request.URL.Path)
+}
+
 // EndCallsBy makes every call end at the given time at the latest: calls that arrive from now on get no later deadline,
 // and calls still running then fail. Otherwise the node's exit would close their connections without a response.
 func (h *Handler) EndCallsBy(at time.Time) {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -122,26 +122,49 @@
 const (
 	NoFault            Fault = iota
 	ConflictingLengths       // both Content-Length and Transfer-Encoding
-	HeaderTooLarge           // longer than Limits.MaxHeaderBytes
+	HeaderTooLarge           // longer than Limits.MaxHeaderBytes, or too many lines
+	MalformedHeader          // not a request head of HTTP/1.0 or HTTP/1.1
+	UnknownEncoding          // a Transfer-Encoding other than "chunked"
+	UnknownExpectation       // an Expect other than "100-continue"
 )
 
+// RefuseFunc responds to a request whose header has a fault. The request holds what is known of it.
+type RefuseFunc func(w http.ResponseWriter, r *http.Request, fault Fault)
+
+// Refuser is implemented by the handlers that Handler returns. A server that parses headers itself passes faults to
+// RefuseHeader instead of calling ServeHTTP.
+type Refuser interface {
+	RefuseHeader(w http.ResponseWriter, r *http.Request, fault Fault)
+}
+
 // Handler passes requests with a faulty header to refuse and closes their connections. next serves all other
-// requests.
-func Handler(next http.Handler, refuse func(w http.ResponseWriter, r *http.Request, fault Fault)) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		inspected, ok := r.Context().Value(connKey{}).(*inspectedConn)
-		if !ok {
-			next.ServeHTTP(w, r)
-			return
-		}
-		fault := inspected.headerFault()
-		if fault == NoFault {
-			next.ServeHTTP(w, r)
-			return
-		}
-		w.Header().Set("Connection", "close")
-		refuse(w, r, fault)
-	})
+// requests. The result implements Refuser.
+func Handler(next http.Handler, refuse RefuseFunc) http.Handler { return &handler{next, refuse} }
+
+type handler struct {
+	next   http.Handler
+	refuse RefuseFunc
+}
+
+// ServeHTTP implements http.Handler. On the connections of NewListener it inspects the header.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	inspected, ok := r.Context().Value(connKey{}).(*inspectedConn)
+	if !ok {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	fault := inspected.headerFault()
+	if fault == NoFault {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	h.RefuseHeader(w, r, fault)
+}
+
+// RefuseHeader implements Refuser.
+func (h *handler) RefuseHeader(w http.ResponseWriter, r *http.Request, fault Fault) {
+	w.Header().Set("Connection", "close")
+	h.refuse(w, r, fault)
 }
 
 func (c *inspectedConn) headerFault() Fault {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,7 +159,9 @@
 		func() { n.metrics.Counter("panic.handler").Inc(1) },
 		serving.Listener{
 			Name: "entry", Addr: n.settings.EntryAddr, Limits: n.entry.CallerLimits, DrainOnShutdown: true,
-			Handler: framing.Handler(framing.CloseConnectionsWhile(&n.draining, callers), n.entry.RefuseHeader),
+			Handler:    framing.Handler(framing.CloseConnectionsWhile(&n.draining, callers), n.entry.RefuseHeader),
+			MayOverlap: n.entry.MayOverlap, Bounds: n.settings.CallerBounds(),
+			Count: func(name string) { n.metrics.Counter(name).Inc(1) },
 		},
 		serving.Listener{Name: "peer", Addr: n.settings.PeerAddr, Handler: n.peerHandler(), DrainOnShutdown: true},
 		serving.Listener{Name: "admin", Addr: n.settings.AdminAddr, Handler: n.adminHandler()},
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/acacialock/acacialock/internal/callerhttp"
 	"github.com/acacialock/acacialock/internal/framing"
 )
 
@@ -28,8 +29,13 @@
 	Name    string // used in error messages
 	Addr    string // host:port
 	Handler http.Handler
-	// Limits returns the limits on requests of callers. If nil, there are no limits.
+	// Limits returns the limits on requests of callers. If set, the listener is served by internal/callerhttp, and Handler must be
+	// a framing.Refuser. If nil, there are no limits, and the listener is served by net/http.
 	Limits func() framing.Limits
+	// Bounds, MayOverlap and Count are those of callerhttp.Config. They apply if Limits is set.
+	Bounds     callerhttp.Bounds
+	MayOverlap func(r *http.Request) bool
+	Count      func(name string)
 	// DrainOnShutdown is set if Shutdown waits for the requests of this listener.
 	DrainOnShutdown bool
 }
@@ -40,7 +46,14 @@
 type server struct {
 	Listener
 	socket net.Listener
-	http   *http.Server
+	http   httpServer
+}
+
+// httpServer is the server of one listener: an http.Server or a callerhttp.Server.
+type httpServer interface {
+	Serve(listener net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
 }
 
 // Open opens all listeners. If one can't be opened, it closes the others and returns an error. onPanic is called after a
@@ -53,21 +66,34 @@
 			s.Close()
 			return nil, eris.Wrapf(err, "open the %s listener", config.Name)
 		}
-		opened := server{config, framing.NewListener(socket), &http.Server{
-			ConnContext: framing.ConnContext, ConnState: framing.ConnState,
-			Handler: config.recoverPanics(onPanic), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		}}
+		opened := server{Listener: config, socket: socket}
 		if config.Limits != nil {
-			opened.socket = framing.NewLimitedListener(socket, config.Limits)
+			opened.http = config.newCallerServer(onPanic)
+		} else {
+			opened.socket = framing.NewListener(socket)
+			opened.http = &http.Server{
+				ConnContext: framing.ConnContext, ConnState: framing.ConnState,
+				Handler: config.recoverPanics(onPanic, config.Handler.ServeHTTP), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			}
 		}
 		s.all = append(s.all, opened)
 	}
 	return s, nil
 }
 
+// newCallerServer returns the server of a listener for callers.
+func (l Listener) newCallerServer(onPanic func()) *callerhttp.Server {
+	refuser := l.Handler.(framing.Refuser)
+	return callerhttp.New(callerhttp.Config{
+		Handler: l.recoverPanics(onPanic, l.Handler.ServeHTTP),
+		Refuse:  refuser.RefuseHeader,
+		Limits:  l.Limits, Bounds: l.Bounds, MayOverlap: l.MayOverlap, Count: l.Count,
+	})
+}
+
 // recoverPanics returns the handler with panics logged and counted. A panic ends only its request: the connection is
 // closed without a complete response. http.ErrAbortHandler, which ends a response on purpose, passes silently.
-func (l Listener) recoverPanics(onPanic func()) http.Handler {
+func (l Listener) recoverPanics(onPanic func(), serve http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
 			cause := recover()
@@ -80,7 +106,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}()
-		l.Handler.ServeHTTP(w, r)
+		serve(w, r)
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,14 @@
 	// at nodes that can't read the store. PlatformRows only; 0: no bound.
 	KeyWithdrawalBound time.Duration
 
+	// CallerMemory limits the bytes that callers make the process hold before their requests are placed; 0: a 16th of the
+	// machine's memory.
+	CallerMemory int64
+	// CallerConnections limits the open connections of callers; 0: half of the descriptors.
+	CallerConnections int
+	CallerHeaderLines int // maximum number of header lines of a caller's request; 0: callerhttp.DefaultHeaderLines
+	Descriptors       int // descriptors that the process may open; 0: the limit of the operating system
+
 	DrainTimeout             time.Duration // maximum wait for requests in flight at shutdown; default 30 s
 	TargetConnectTimeout     time.Duration // for connecting to the target; default 1 s
 	TargetHealthInterval     time.Duration // between two health checks; default 1 s
@@ -115,6 +123,10 @@
 	RetrySlack               int      `toml:"retry_slack"`
 	LinkMbps                 float64  `toml:"link_mbps"`
 	KeyWithdrawalBound       *string  `toml:"key_withdrawal_bound"`
+	CallerMemory             int64    `toml:"caller_memory"`
+	CallerConnections        int      `toml:"caller_connections"`
+	CallerHeaderLines        int      `toml:"caller_header_lines"`
+	Descriptors              int      `toml:"descriptors"`
 	DrainTimeout             *string  `toml:"drain_timeout"`
 	TargetConnectTimeout     *string  `toml:"target_connect_timeout"`
 	TargetHealthInterval     *string  `toml:"target_health_interval"`
@@ -160,6 +172,10 @@
 		PeerAdvertiseAddr: text.PeerAdvertiseAddr,
 		RetrySlack:        text.RetrySlack,
 		LinkMbps:          text.LinkMbps,
+		CallerMemory:      text.CallerMemory,
+		CallerConnections: text.CallerConnections,
+		CallerHeaderLines: text.CallerHeaderLines,
+		Descriptors:       text.Descriptors,
 	}
 	if text.Name != nil {
 		loaded.Name = *text.Name
@@ -172,6 +188,7 @@
 	checkLabels(document, loaded)
 	checkAddresses(document, loaded)
 	checkLists(document, loaded)
+	checkCallerBounds(document, loaded)
 	readDurations(document, loaded, text)
 	return loaded
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,10 @@
 		kind tomlcheck.Kind
 	}{
 		{`service = "Storefront"`, tomlcheck.BadName},
+		{`caller_memory = -1`, tomlcheck.OutOfRange},
+		{`caller_connections = -1`, tomlcheck.OutOfRange},
+		{`caller_header_lines = -1`, tomlcheck.OutOfRange},
+		{`descriptors = -1`, tomlcheck.OutOfRange},
 		{`zone = ""`, tomlcheck.Missing},
 		{`region = "san jose"`, tomlcheck.BadName},
 		{`name = "a@b"`, tomlcheck.BadName},
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"slices"
 	"time"
@@ -80,6 +81,10 @@
 		{"admin_addr", old.AdminAddr, s.AdminAddr},
 		{"check_in_addr", old.CheckInAddr, s.CheckInAddr},
 		{"target_addr", old.TargetAddr, s.TargetAddr},
+		{"caller_memory", fmt.Sprint(old.CallerMemory), fmt.Sprint(s.CallerMemory)},
+		{"caller_connections", fmt.Sprint(old.CallerConnections), fmt.Sprint(s.CallerConnections)},
+		{"caller_header_lines", fmt.Sprint(old.CallerHeaderLines), fmt.Sprint(s.CallerHeaderLines)},
+		{"descriptors", fmt.Sprint(old.Descriptors), fmt.Sprint(s.Descriptors)},
 		{"target_health_path", old.TargetHealthPath, s.TargetHealthPath},
 		{"target_connect_timeout", old.TargetConnectTimeout.String(), s.TargetConnectTimeout.String()},
 		{"target_health_interval", old.TargetHealthInterval.String(), s.TargetHealthInterval.String()},
