--- a/internal/callerhttp/answer.go
+++ b/internal/callerhttp/answer.go
@@ -37,7 +37,8 @@
 	sniff      bool     // the type of the body is found from its first bytes
 	began      bool     // the header is complete
 	chunked    bool
-	closes     bool // the handler or the protocol wants the connection closed
+	parts      [3][]byte // that are sent together
+	closes     bool      // the handler or the protocol wants the connection closed
 	fullDuplex bool
 }
 
@@ -99,7 +100,7 @@
 	a.appendStatusLine(1, status)
 	a.appendHeader()
 	a.buffer = append(a.buffer, "\r\n"...)
-	_ = e.conn.send(e, a.buffer) // a failure is seen when the final answer is sent
+	_ = e.conn.send(e, append(a.parts[:0], a.buffer)) // a failure is seen when the final answer is sent
 	a.buffer = a.buffer[:0]
 }
 
@@ -305,19 +306,21 @@
 	if a.chunked {
 		a.frameChunk(len(data))
 	}
-	var err error
-	switch {
-	case len(data) == 0:
-		if len(a.buffer) > 0 {
-			err = e.conn.send(e, a.buffer)
+	parts := a.parts[:0]
+	if len(a.buffer) > 0 {
+		parts = append(parts, a.buffer)
+	}
+	if len(data) > 0 {
+		parts = append(parts, data)
+		if a.chunked {
+			parts = append(parts, crlf)
 		}
-	case a.chunked:
-		err = e.conn.send(e, a.buffer, data, crlf)
-	default:
-		err = e.conn.send(e, a.buffer, data)
 	}
 	a.buffer, a.bodyStart = a.buffer[:0], 0
-	return err
+	if len(parts) == 0 {
+		return nil
+	}
+	return e.conn.send(e, parts)
 }
 
 var crlf = []byte("\r\n")
--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -168,6 +168,9 @@
 		if i := bytes.IndexByte(c.buffer[c.start:c.end], '\n'); i >= 0 {
 			line := c.buffer[c.start : c.start+i]
 			c.start += i + 1
+			if i > maxChunkLineBytes {
+				return nil, errChunkTooLong
+			}
 			if i == 0 || line[i-1] != '\r' || bytes.IndexByte(line[:i-1], '\r') >= 0 {
 				return nil, errMalformedChunk
 			}
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -63,6 +63,7 @@
 	closing       bool        // the connection is closed when the queue is empty
 	lingers       bool        // it is closed after lingerTimeout
 	closed        bool
+	left          bool      // the caller has closed its connection, or half of it
 	waiting       int       // goroutines that wait for changed
 	outBytes      int       // buffered answers
 	served        bool      // a request was answered
@@ -71,7 +72,8 @@
 	headUntil     time.Time // while a head arrives; zero: none
 	armed         time.Time // read deadline in force; zero: none
 
-	heldBytes atomic.Int64 // what the reading side holds while a head is incomplete or a request waits for its turn
+	writeUntil time.Time    // write deadline in force; used by the goroutine that writes
+	heldBytes  atomic.Int64 // what the reading side holds while a head is incomplete or a request waits for its turn
 }
 
 func newConn(server *Server, accepted net.Conn, now time.Time) *conn {
@@ -319,8 +321,13 @@
 	c.leaveLocked()
 }
 
+// leaveLocked is callerLeft for a caller that holds mu.
 func (c *conn) leaveLocked() {
 	c.closing = true
+	if !c.left {
+		c.left = true
+		_ = c.net.SetWriteDeadline(time.Now().Add(leftWriteTimeout)) // fails only when the connection is closed
+	}
 	for _, e := range c.queue {
 		e.cancel()
 	}
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -528,3 +528,87 @@
 	_, err = reader.ReadByte()
 	assert.Assert(t, err != nil, "the connection is closed")
 }
+
+// Guards against bodies whose end two servers may read differently: what follows must not be served as a request.
+func TestMalformedChunks(t *testing.T) {
+	var smuggled, failed atomic.Int64
+	_, addr := startServer(t, Bounds{}, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/smuggled" {
+			smuggled.Add(1)
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			failed.Add(1)
+		}
+	})
+	chunks := []string{
+		"3\nabc\r\n0\r\n\r\n", "3\r\nabc\n0\r\n\r\n", "3\r\nabc\r\n0\n\r\n", "3\r\nabc\r\n0\r\n\n", "3\r\nabcd\r\n0\r\n\r\n",
+		"3\r\nabc0\r\n\r\n", "0x3\r\nabc\r\n0\r\n\r\n", "+3\r\nabc\r\n0\r\n\r\n", "-3\r\nabc\r\n0\r\n\r\n", " 3\r\nabc\r\n0\r\n\r\n",
+		"3 \r\nabc\r\n0\r\n\r\n", "\r\n3\r\nabc\r\n0\r\n\r\n", "3;a\rb\r\nabc\r\n0\r\n\r\n", "3;a\x00\r\nabc\r\n0\r\n\r\n", "1_0\r\nabc\r\n0\r\n\r\n",
+		"10000000000000003\r\nabc\r\n0\r\n\r\n", "0\r\nA\r\n\r\n", "0\r\nA : b\r\n\r\n", "0\r\n A: b\r\n\r\n", "0\r\nA: b\n\r\n", ";a\r\n\r\n",
+		"1;" + strings.Repeat("x", 2000) + "\r\na\r\n0\r\n\r\n", "0\r\n" + strings.Repeat("A: "+strings.Repeat("x", 900)+"\r\n", 20) + "\r\n",
+	}
+	for i, chunk := range chunks {
+		conn, reader := dial(t, addr)
+		write(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk+get("/smuggled"))
+		_, _, answer := readAnswer(reader, http.MethodPost)
+		assert.Check(t, answer != nil && answer.Close, "%.60q", chunk)
+		_, err := reader.ReadByte()
+		assert.Check(t, err != nil, "%.60q: the connection stays open", chunk)
+		assert.Check(t, failed.Load() == int64(i+1) && smuggled.Load() == 0, "%.60q", chunk)
+		_ = conn.Close()
+	}
+}
+
+// Guards against lost, doubled or mixed answers on connections with long random sequences of requests that are sent without
+// waiting.
+func TestRandomSequences(t *testing.T) {
+	const connections, requests = 8, 300
+	server, addr := startServer(t, Bounds{Memory: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		pause, _ := strconv.Atoi(query.Get("pause"))
+		size, _ := strconv.Atoi(query.Get("size"))
+		time.Sleep(time.Duration(pause) * time.Microsecond)
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s%s%s", r.URL.Path, body, strings.Repeat("x", size))
+	})
+	var wait sync.WaitGroup
+	for id := range connections {
+		conn, reader := dial(t, addr)
+		random := rand.New(rand.NewPCG(39, uint64(id)))
+		var wants []string
+		var all strings.Builder
+		for i := range requests {
+			size := []int{0, 10, 3000, 40 << 10}[random.IntN(4)]
+			path := fmt.Sprintf("/%d-%d", id, i)
+			target := fmt.Sprintf("%s?pause=%d&size=%d", path, random.IntN(300), size)
+			body := ""
+			switch random.IntN(10) {
+			case 0:
+				body = strings.Repeat("b", random.IntN(20<<10))
+				fmt.Fprintf(&all, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", target, len(body), body)
+			case 1:
+				body = strings.Repeat("c", 1+random.IntN(20<<10))
+				fmt.Fprintf(&all, "PUT %s HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", target, len(body), body)
+			case 2:
+				path = "/once" + path
+				all.WriteString(get("/once" + target))
+			default:
+				all.WriteString(get(target))
+			}
+			wants = append(wants, path+body+strings.Repeat("x", size))
+		}
+		wait.Go(func() { _, _ = io.WriteString(conn, all.String()) }) // a failure shows in the answers
+		wait.Go(func() {
+			for i, want := range wants {
+				status, body, _ := readAnswer(reader, http.MethodGet)
+				if status != http.StatusOK || body != want {
+					t.Errorf("connection %d, request %d: status %d, %d bytes %.20q, want %d bytes %.20q", id, i, status, len(body), body, len(want), want)
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	bytes, _ := server.Held()
+	assert.Equal(t, bytes, int64(0))
+}
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -179,9 +179,6 @@
 	return nil
 }
 
-// SetWriteDeadline limits the time for writing the answer. It is meant for http.ResponseController.
-func (e *exchange) SetWriteDeadline(until time.Time) error { return e.conn.net.SetWriteDeadline(until) }
-
 // EnableFullDuplex makes it possible to read the body after the answer has begun. It is meant for http.ResponseController.
 func (e *exchange) EnableFullDuplex() error {
 	e.answer.fullDuplex = true
--- a/internal/callerhttp/head.go
+++ b/internal/callerhttp/head.go
@@ -71,10 +71,10 @@
 func parseHead(request *http.Request, head []byte) framing.Fault {
 	text := strings.TrimLeft(string(head), "\r\n") // one copy, which the strings of the request share
 	request.Proto, request.ProtoMajor, request.ProtoMinor = "HTTP/1.1", 1, 1
-	request.URL, request.Body = &url.URL{}, http.NoBody
+	request.Body = http.NoBody
 	line, rest, _ := strings.Cut(text, "\r\n")
 	if !parseRequestLine(request, line) {
-		request.Header = http.Header{}
+		request.URL, request.Header = &url.URL{}, http.Header{}
 		return framing.MalformedHeader
 	}
 	if !parseHeaderLines(request, rest) || !setHost(request) {
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -1,7 +1,9 @@
 package callerhttp
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/framing"
@@ -13,11 +15,17 @@
 	// maxBufferedBytes limits the answers of one connection that wait for those before them: maxOverlapping answers of 32 KiB.
 	// A handler that has more to write waits.
 	maxBufferedBytes = maxOverlapping * 32 << 10
+	// A write that the caller does not read ends after minWriteTimeout to maxWriteTimeout. The deadline is moved only when it is
+	// nearer than minWriteTimeout, so that most writes set none.
+	minWriteTimeout = 30 * time.Second
+	maxWriteTimeout = 60 * time.Second
+	// leftWriteTimeout limits writes to a caller that has closed its connection, or half of it.
+	leftWriteTimeout = 5 * time.Second
 )
 
-// send writes a part of an answer to the connection or, while answers before it are not complete, to a buffer. It waits while
+// send writes the parts to the connection at once or, while answers before it are not complete, to a buffer. It waits while
 // the buffered answers of the connection or of all connections have reached their limit.
-func (c *conn) send(e *exchange, parts ...[]byte) error {
+func (c *conn) send(e *exchange, parts [][]byte) error {
 	c.mu.Lock()
 	for !e.first {
 		if c.closed || e.aborted {
@@ -44,17 +52,33 @@
 	return nil
 }
 
-// write writes the parts at once.
-func (c *conn) write(parts [][]byte) error {
+// write writes the parts at once. Only the goroutine that writes for the first exchange calls it.
+func (c *conn) write(parts [][]byte) (err error) {
+	if now := time.Now(); c.writeUntil.Sub(now) < minWriteTimeout {
+		c.extendWriteDeadline(now.Add(maxWriteTimeout))
+	}
 	if len(parts) == 1 {
-		_, err := c.net.Write(parts[0])
-		return err
+		_, err = c.net.Write(parts[0])
+	} else {
+		buffers := net.Buffers(parts)
+		_, err = buffers.WriteTo(c.net)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.logClosure("write-timeout")
 	}
-	buffers := net.Buffers(parts)
-	_, err := buffers.WriteTo(c.net)
 	return err
 }
 
+// extendWriteDeadline sets the write deadline unless the caller has left.
+func (c *conn) extendWriteDeadline(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeUntil = until
+	if !c.left {
+		_ = c.net.SetWriteDeadline(until) // fails only when the connection is closed
+	}
+}
+
 // store appends the parts to the buffer of an answer that is not first, and reports whether they fit. The caller holds mu.
 func (c *conn) store(e *exchange, parts [][]byte) bool {
 	size := 0
