Bound the heads of requests in progress, gauges of what callers hold

Cause: caller_memory bounded what waits before a request is placed, but not the heads of requests in progress. Change: the heads of requests in progress may take as much again; beyond that a large request gets 503 caller-memory-full, a small one at twice that. Gauges caller.connections, caller.waiting.bytes, caller.requests.bytes, caller.memory.bytes.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -9,7 +9,7 @@
 // Bounds limit what callers make the process hold before their requests are placed. A zero field selects its default.
 type Bounds struct {
 	// Memory limits the bytes of incomplete heads, of requests that wait for their turn and of buffered answers, over all
-	// connections.
+	// connections, and separately those of the heads of requests in progress.
 	Memory int64
 	// Connections limits the open connections of callers.
 	Connections int
@@ -31,6 +31,25 @@
 	return b
 }
 
+// Approximate memory that a parsed head takes besides its text.
+const (
+	requestBytes    = 1 << 10 // the request, its context and its answer
+	headerLineBytes = 96      // an entry of the header and its slice of values
+)
+
+// smallRequestBytes is the size of requests that are admitted up to twice the limit, so that a crowd of large ones leaves room
+// for those of ordinary callers.
+const smallRequestBytes = 4 << 10
+
+// admitsRequest answers crowds of valid requests with many header lines: it reports whether a request that takes size bytes may
+// be started while those in progress take taken bytes.
+func admitsRequest(taken, size, limit int64) bool {
+	if size <= smallRequestBytes {
+		return taken+size <= 2*limit
+	}
+	return taken+size <= limit
+}
+
 // evictionShare is the part of a limit that is freed when the limit is reached, so that not each further byte or connection
 // needs another pass over all connections.
 const evictionShare = 16
--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/framing"
 )
 
 // Guards against a crowd that pushes out an ordinary caller: replays 60 connections that each hold a head of 16 KB for ten
@@ -77,6 +79,53 @@
 	})
 }
 
+// Guards against a crowd of valid requests with many header lines that takes all memory, and against ordinary callers that are
+// refused with it: replays 600 requests of 60 KB beside ordinary ones of 2 KB, with a limit of 11 MB.
+func TestCrowdOfLargeHeadsLeavesRoomForSmallOnes(t *testing.T) {
+	const limit, large, small = 11 << 20, 60 << 10, 2 << 10
+	taken, refused := int64(0), 0
+	for range 600 {
+		if admitsRequest(taken, large, limit) {
+			taken += large
+		} else {
+			refused++
+		}
+		assert.Assert(t, admitsRequest(taken, small, limit))
+		taken += small
+		assert.Assert(t, taken <= 2*limit)
+	}
+	assert.Assert(t, refused > 400, "%d", refused)
+}
+
+// Guards against requests that are refused for good after a crowd has left.
+func TestRequestsFreeTheirMemory(t *testing.T) {
+	g := newGate()
+	const limit, connections, lines = 8 << 10, 10, 3
+	server, addr := startServer(t, Bounds{Memory: limit}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
+	large := "GET /large HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 900) + "\r\n\r\n"
+	admitted := 2 * limit / (requestBytes + len(large) + lines*headerLineBytes)
+	var readers []func() int
+	for range connections {
+		conn, reader := dial(t, addr)
+		write(t, conn, large)
+		readers = append(readers, func() int { status, _, _ := readAnswer(reader, http.MethodGet); return status })
+	}
+	g.awaitStarted(t, admitted)
+	for end := time.Now().Add(testTimeout); server.Held().Connections > admitted; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%+v", server.Held())
+	}
+	g.release("/large")
+	counts := map[int]int{}
+	for _, read := range readers {
+		counts[read()]++
+	}
+	assert.Equal(t, counts[http.StatusOK], admitted)
+	assert.Equal(t, counts[faultStatus[framing.NoMemory]], connections-admitted)
+	for end := time.Now().Add(testTimeout); server.Held().Requests != 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+}
+
 // Guards against crowds beyond the bounds: the process holds no more than they allow, a request in progress is answered, and so
 // is one that comes afterwards.
 func TestBoundsHoldAgainstCrowds(t *testing.T) {
@@ -98,9 +147,9 @@
 		if i%2 == 0 {
 			_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 900))) // may be closed
 		}
-		bytes, open := server.Held()
-		assert.Assert(t, open <= connections, "%d connections", open)
-		assert.Assert(t, bytes <= 2*memory, "%d bytes", bytes) // connections that send at once add theirs before others are closed
+		held := server.Held()
+		assert.Assert(t, held.Connections <= connections, "%d connections", held.Connections)
+		assert.Assert(t, held.Waiting <= 2*memory, "%d bytes", held.Waiting) // connections that send at once add theirs before others are closed
 	}
 	other, reader := dial(t, addr)
 	write(t, other, get("/"))
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -94,7 +94,11 @@
 	defer c.endReading()
 	for {
 		e := c.nextExchange()
-		if e == nil || !c.awaitTurn(e) {
+		if e == nil {
+			return
+		}
+		if !c.awaitTurn(e) {
+			e.end()
 			return
 		}
 		if e.fault != framing.NoFault {
@@ -156,6 +160,12 @@
 	if fault == framing.NoFault {
 		fault = parsed
 	}
+	if fault == framing.NoFault {
+		e.size = requestBytes + length + headerLineBytes*c.scanner.lines
+		if !c.server.admit(e.size) {
+			e.size, fault = 0, framing.NoMemory
+		}
+	}
 	c.start += length
 	c.releaseEmpty()
 	e.init(&request, fault)
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -28,7 +28,7 @@
 // faultStatus are the statuses with which the test servers refuse faulty heads.
 var faultStatus = map[framing.Fault]int{
 	framing.ConflictingLengths: 400, framing.MalformedHeader: 400, framing.HeaderTooLarge: 431,
-	framing.UnknownEncoding: 501, framing.UnknownExpectation: 417,
+	framing.UnknownEncoding: 501, framing.UnknownExpectation: 417, framing.NoMemory: 503,
 }
 
 // startServer serves handler with the limits of testBounds. Requests may overlap unless their path begins with /once.
@@ -171,8 +171,7 @@
 			assert.Assert(t, body == want, "round %d, request %d: %d bytes, want %d", round, i, len(body), len(want))
 		}
 	}
-	bytes, _ := server.Held()
-	assert.Equal(t, bytes, int64(0))
+	assert.Equal(t, server.Held().Waiting, int64(0))
 }
 
 // mixed is a sequence of requests of all kinds. Each path that begins with /once must run alone.
@@ -425,8 +424,8 @@
 			status, _, _ := readAnswer(reader, http.MethodGet)
 			assert.Equal(t, status, http.StatusOK)
 		}
-		bytes, _ := server.Held()
-		assert.Assert(t, bytes <= bound, "%d bytes", bytes)
+		held := server.Held().Waiting
+		assert.Assert(t, held <= bound, "%d bytes", held)
 	}
 	for _, conn := range slow {
 		_ = conn.Close()
@@ -609,6 +608,5 @@
 		})
 	}
 	wait.Wait()
-	bytes, _ := server.Held()
-	assert.Equal(t, bytes, int64(0))
+	assert.Equal(t, server.Held().Waiting, int64(0))
 }
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -21,6 +21,7 @@
 	overlaps bool          // requests behind it may be started before it is answered, and it beside those before it
 	cancel   context.CancelFunc
 	answer   answer
+	size     int // bytes that the head takes; 0: they are not counted
 
 	continueMu sync.Mutex // guards body.continues and the write of the informational answer
 
@@ -108,6 +109,8 @@
 		return "caller.refused.conflicting-lengths"
 	case framing.HeaderTooLarge:
 		return "caller.refused.header-too-large"
+	case framing.NoMemory:
+		return "caller.refused.memory"
 	case framing.UnknownEncoding:
 		return "caller.refused.unknown-encoding"
 	case framing.UnknownExpectation:
@@ -117,6 +120,12 @@
 	}
 }
 
+// end cancels what the request still does and frees what its head took.
+func (e *exchange) end() {
+	e.cancel()
+	e.conn.server.requests.Add(-int64(e.size))
+}
+
 // finish sends the rest of the answer and hands the connection on. It returns false if the answer is shorter than announced.
 func (e *exchange) finish() bool {
 	if !e.finishAnswer() {
@@ -127,7 +136,7 @@
 		e.closes, e.conn.lingers = true, true
 		e.conn.mu.Unlock()
 	}
-	e.cancel()
+	e.end()
 	e.conn.complete(e)
 	return true
 }
@@ -145,7 +154,7 @@
 	if e.body != nil {
 		e.body.finish(true)
 	}
-	e.cancel()
+	e.end()
 	e.conn.abort(e)
 }
 
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -47,6 +47,7 @@
 	config   Config
 	bounds   Bounds
 	held     atomic.Int64 // bytes that count towards Bounds.Memory
+	requests atomic.Int64 // bytes that the heads of requests in progress take
 	evicting atomic.Bool
 	draining atomic.Bool
 
@@ -202,11 +203,29 @@
 
 func (s *Server) unreserve(bytes int) { s.held.Add(-int64(bytes)) }
 
-// Held returns the bytes that callers make the process hold before their requests are placed, and the open connections.
-func (s *Server) Held() (bytes int64, connections int) {
+// admit counts a request that takes size bytes, unless the requests in progress take too much.
+func (s *Server) admit(size int) bool {
+	taken := s.requests.Add(int64(size)) - int64(size)
+	if admitsRequest(taken, int64(size), s.bounds.Memory) {
+		return true
+	}
+	s.requests.Add(-int64(size))
+	return false
+}
+
+// Held is what callers make the process hold.
+type Held struct {
+	Connections int
+	Waiting     int64 // bytes of incomplete heads, of requests that wait for their turn and of buffered answers
+	Requests    int64 // bytes of the heads of requests in progress
+	Memory      int64 // limit of Waiting and of Requests, Bounds.Memory
+}
+
+// Held returns what callers make the process hold now.
+func (s *Server) Held() Held {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held.Load(), len(s.conns)
+	return Held{len(s.conns), s.held.Load(), s.requests.Load(), s.bounds.Memory}
 }
 
 // evictMemory closes connections until the bytes are within their limit again.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,6 +240,7 @@
 	for {
 		d.policies.Update(d.view.Load())
 		d.metering.publish(d.metrics)
+		d.servers.PublishCallers(d.metrics)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -89,6 +89,8 @@
 	switch fault {
 	case framing.HeaderTooLarge:
 		failed = failure.New(failure.HeaderTooLarge, failure.NotRun, "the header is longer than the service list allows")
+	case framing.NoMemory:
+		failed = failure.New(failure.CallerMemoryFull, failure.NotRun, "the requests of callers take all memory that they may use")
 	case framing.ConflictingLengths:
 		failed = failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
 	default:
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -12,6 +12,7 @@
 	UnknownRoute        Reason = "unknown-route"
 	BodyTooLarge        Reason = "body-too-large"
 	HeaderTooLarge      Reason = "header-too-large"
+	CallerMemoryFull    Reason = "caller-memory-full" // the heads of requests in progress take all memory that callers may use
 	BadRequest          Reason = "bad-request"
 	NoServiceList       Reason = "no-service-list"
 	NoTarget            Reason = "no-target"
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -126,6 +126,7 @@
 	MalformedHeader          // not a request head of HTTP/1.0 or HTTP/1.1
 	UnknownEncoding          // a Transfer-Encoding other than "chunked"
 	UnknownExpectation       // an Expect other than "100-continue"
+	NoMemory                 // valid, but the heads of requests in progress take all memory that callers may use
 )
 
 // RefuseFunc responds to a request whose header has a fault. The request holds what is known of it.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -60,6 +60,7 @@
 
 func (n *Node) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	n.updateGauges()
+	n.servers.PublishCallers(n.metrics)
 	n.metrics.ServeHTTP(w, r)
 }
 
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -15,6 +15,7 @@
 
 	"github.com/acacialock/acacialock/internal/callerhttp"
 	"github.com/acacialock/acacialock/internal/framing"
+	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
 const (
@@ -120,6 +121,21 @@
 		"stack", string(stack[:min(len(stack), maxStackBytes)]))
 }
 
+// PublishCallers updates the gauges of what callers make the process hold; see callerhttp.Server.Held.
+func (s *Servers) PublishCallers(metrics *telemetry.Registry) {
+	for _, srv := range s.all {
+		callers, ok := srv.http.(*callerhttp.Server)
+		if !ok {
+			continue
+		}
+		held := callers.Held()
+		metrics.Gauge("caller.connections").Update(int64(held.Connections))
+		metrics.Gauge("caller.waiting.bytes").Update(held.Waiting)
+		metrics.Gauge("caller.requests.bytes").Update(held.Requests)
+		metrics.Gauge("caller.memory.bytes").Update(held.Memory)
+	}
+}
+
 // Parts returns the servers as parts for Run. Each ends on Shutdown or Close, regardless of its context.
 func (s *Servers) Parts() []Part {
 	var parts []Part
