--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -61,6 +61,7 @@
 	interruptible bool        // the reader reads while heldBack waits
 	stopStarting  bool        // an answer wants to close the connection: nothing is started beside those in progress
 	closing       bool        // the connection is closed when the queue is empty
+	pipelines     bool        // the caller has sent a request before the one ahead of it was answered
 	lingers       bool        // it is closed after lingerTimeout
 	closed        bool
 	left          bool      // the caller has closed its connection, or half of it
@@ -255,11 +256,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.headUntil = time.Time{}
+	if e != nil && len(c.queue) > 0 {
+		c.pipelines = true
+	}
+	waited := false
 	for !c.mayStart(e) {
 		if c.closed || c.closing && len(c.queue) == 0 || e == nil && len(c.queue) == 0 {
 			return false
 		}
-		c.heldBack = e
+		c.heldBack, waited = e, true
 		if err := c.readWhileWaiting(); err != nil {
 			c.leaveLocked()
 			return false
@@ -270,6 +275,12 @@
 		c.clearDeadline()
 	}
 	e.first = len(c.queue) == 0
+	switch {
+	case !e.first:
+		c.server.count("caller.overlapped")
+	case waited:
+		c.server.count("caller.waited")
+	}
 	c.queue = append(c.queue, e)
 	return true
 }
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -214,7 +214,7 @@
 // The caller holds mu, which endAfter releases.
 func (c *conn) endAfter(e *exchange) {
 	c.closing = true
-	if e != nil && !e.aborted && (e.fault != framing.NoFault || len(c.queue) > 0 || c.heldBack != nil) {
+	if e != nil && !e.aborted && (e.fault != framing.NoFault || c.pipelines) {
 		c.lingers = true
 	}
 	c.wake()
