--- /dev/null
+++ b/internal/callerhttp/budget_test.go
@@ -0,0 +1,167 @@
+package callerhttp
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/framing"
+)
+
+// Guards against a crowd that pushes out an ordinary caller: replays 60 connections that each hold a head of 16 KB for ten
+// seconds, beside callers that hold 4 KB for a moment or have a request in progress.
+func TestCrowdOfIncompleteHeadsGoesFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var holdings []holding
+	for i := range 60 {
+		holdings = append(holdings, holding{bytes: 16 << 10, since: now.Add(-10 * time.Second)})
+		if i%3 == 0 {
+			holdings = append(holdings, holding{bytes: 4 << 10, since: now.Add(-50 * time.Millisecond), served: true},
+				holding{bytes: 1 << 20, since: now.Add(-time.Hour), placed: true})
+		}
+	}
+	const excess = 40 * 16 << 10
+	victims := memoryVictims(holdings, excess, now)
+	assert.Equal(t, len(victims), 40)
+	for _, index := range victims {
+		assert.Equal(t, holdings[index].bytes, 16<<10)
+	}
+	assert.Equal(t, len(memoryVictims(holdings, 1<<40, now)), 80, "all but those with a request in progress")
+}
+
+// Guards against connections in use that make room for a crowd of connections without a request.
+func TestConnectionsWithoutARequestGoFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holdings := []holding{
+		{placed: true, since: now.Add(-time.Hour)},
+		{served: true, since: now.Add(-time.Minute)},
+		{since: now.Add(-time.Second)},
+		{since: now.Add(-2 * time.Second)},
+		{served: true, since: now.Add(-2 * time.Minute)},
+	}
+	assert.DeepEqual(t, connectionVictims(holdings, 2), []int{3, 2})
+	assert.DeepEqual(t, connectionVictims(holdings, 10), []int{3, 2, 4, 1})
+}
+
+// Guards against a choice that frees too little although enough could be freed, takes more connections than needed, or takes one
+// with a request in progress.
+func TestMemoryVictimsFreeTheExcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		holdings := rapid.SliceOf(rapid.Custom(func(t *rapid.T) holding {
+			return holding{
+				bytes: rapid.IntRange(0, 1000).Draw(t, "bytes"), placed: rapid.Bool().Draw(t, "placed"),
+				since: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
+			}
+		})).Draw(t, "holdings")
+		excess := rapid.IntRange(1, 5000).Draw(t, "excess")
+		freed, available := 0, 0
+		victims := memoryVictims(holdings, int64(excess), now)
+		for i, h := range holdings {
+			if slices.Contains(victims, i) {
+				assert.Assert(t, !h.placed)
+				freed += h.bytes
+			}
+			if !h.placed {
+				available += h.bytes
+			}
+		}
+		assert.Assert(t, freed >= min(excess, available))
+		if len(victims) > 0 {
+			assert.Assert(t, freed-holdings[victims[len(victims)-1]].bytes < excess)
+		}
+	})
+}
+
+// Guards against a crowd of valid requests with many header lines that takes all memory, and against ordinary callers that are
+// refused with it: replays 600 requests of 60 KB beside ordinary ones of 2 KB, with a limit of 11 MB.
+func TestCrowdOfLargeHeadsLeavesRoomForSmallOnes(t *testing.T) {
+	const limit, large, small = 11 << 20, 60 << 10, 2 << 10
+	taken, refused := int64(0), 0
+	for range 600 {
+		if admitsRequest(taken, large, limit) {
+			taken += large
+		} else {
+			refused++
+		}
+		assert.Assert(t, admitsRequest(taken, small, limit))
+		taken += small
+		assert.Assert(t, taken <= 2*limit)
+	}
+	assert.Assert(t, refused > 400, "%d", refused)
+}
+
+// Guards against requests that are refused for good after a crowd has left.
+func TestRequestsFreeTheirMemory(t *testing.T) {
+	g := newGate()
+	const limit, connections, lines = 8 << 10, 10, 3
+	server, addr := startServer(t, Bounds{Memory: limit}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
+	large := "GET /large HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 900) + "\r\n\r\n"
+	admitted := 2 * limit / (requestBytes + len(large) + lines*headerLineBytes)
+	var readers []func() int
+	for range connections {
+		conn, reader := dial(t, addr)
+		write(t, conn, large)
+		readers = append(readers, func() int { status, _, _ := readAnswer(reader, http.MethodGet); return status })
+	}
+	g.awaitStarted(t, admitted)
+	for end := time.Now().Add(testTimeout); server.Held().Connections > admitted; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%+v", server.Held())
+	}
+	g.release("/large")
+	counts := map[int]int{}
+	for _, read := range readers {
+		counts[read()]++
+	}
+	assert.Equal(t, counts[http.StatusOK], admitted)
+	assert.Equal(t, counts[faultStatus[framing.NoMemory]], connections-admitted)
+	for end := time.Now().Add(testTimeout); server.Held().Requests != 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+}
+
+// Guards against crowds beyond the bounds: the process holds no more than they allow, a request in progress is answered, and so
+// is one that comes afterwards.
+func TestBoundsHoldAgainstCrowds(t *testing.T) {
+	for _, bounds := range []Bounds{{Memory: 64 << 10, Connections: 1000}, {Memory: 1 << 30, Connections: 40}} {
+		g := newGate()
+		server, addr := startServer(t, bounds, func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				g.pass(r)
+			}
+		})
+		busy, busyReader := dial(t, addr)
+		write(t, busy, get("/slow"))
+		g.awaitStarted(t, 1)
+		var crowd []net.Conn
+		for i := range 200 {
+			conn, err := net.Dial("tcp", addr)
+			assert.NilError(t, err)
+			crowd = append(crowd, conn)
+			if i%2 == 0 {
+				_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 900))) // may be closed
+			}
+			held := server.Held()
+			assert.Assert(t, held.Connections <= bounds.Connections, "%d connections", held.Connections)
+		}
+		for end := time.Now().Add(testTimeout); server.Held().Waiting > bounds.Memory; time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "%+v", server.Held())
+		}
+		other, reader := dial(t, addr)
+		write(t, other, get("/"))
+		status, _, _ := readAnswer(reader, http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+		g.release("/slow")
+		status, _, _ = readAnswer(busyReader, http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+		for _, conn := range crowd {
+			_ = conn.Close()
+		}
+	}
+}
