Allotments: keep the tenant of a gate, refuse reports with an impossible number

Cause: a request that began under a list with a tenant since removed led to a nil dereference when its gate was swept. Change: the gate holds the tenant of its last request; a test replays it.

--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -98,7 +98,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refreshList()
-	if a.state.giveBack(newTenantID(tenant.Name), tenant, sinceBoot()) {
+	if a.state.giveBack(newTenantID(tenant.Name), sinceBoot()) {
 		a.config.Metrics.Counter("allotment.returned").Inc(1)
 	}
 }
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/servicelist"
 )
 
 // TestMain fixes the seed of property tests; -rapid.seed on the command line changes it.
@@ -167,7 +169,7 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
 			if rapid.Bool().Draw(t, "return") {
-				if node.giveBack(s.ids[0], s.tenants[0], now) {
+				if node.giveBack(s.ids[0], now) {
 					returned++
 				}
 			} else if _, ok := node.admit(s.ids[0], s.tenants[0], now); ok {
@@ -204,6 +206,21 @@
 	})
 }
 
+// Guards against a crash when a request began under a list that still had its tenant.
+func TestRemovedTenant(t *testing.T) {
+	s := newSimulation(1, 2, 1, 2, 10)
+	node, removed := s.nodes[0].state, s.tenants[0]
+	node.configure(map[tenantID]*servicelist.Tenant{s.ids[1]: s.tenants[1]}, nil, s.nodes[0].member)
+	for now := time.Second; now < 20*time.Second; now += 500 * time.Millisecond {
+		for range 5 {
+			if _, ok := node.admit(s.ids[0], removed, now); ok && now < 3*time.Second {
+				node.giveBack(s.ids[0], now)
+			}
+		}
+		node.poll(now)
+	}
+}
+
 // A lowered rate holds one window after the nodes have it. Guards against accounts that keep what the old rate saved up.
 func TestLoweredRateHoldsAtOnce(t *testing.T) {
 	s := newSimulation(5, 24, 2, 1, 200)
--- a/internal/allotment/gate.go
+++ b/internal/allotment/gate.go
@@ -29,6 +29,7 @@
 // grants. The fraction is taken of the requests in their order and not of time: nodes need not know the demand of the
 // others, and the sum over many nodes with few requests each is exact. It is not safe for concurrent use.
 type gate struct {
+	tenant     *servicelist.Tenant // as of the last request
 	tokens     float64
 	at         time.Duration
 	share      float64       // of an admitted request that the fraction has granted so far
@@ -41,19 +42,19 @@
 
 // newGate returns a gate that holds the given number of requests. share is random in [0, 1), so that nodes that are limited
 // at the same moment don't admit or refuse their first request all together.
-func newGate(tokens, share float64, now time.Duration) *gate {
-	return &gate{tokens: tokens, share: share, at: now, lastAt: now}
+func newGate(tenant *servicelist.Tenant, tokens, share float64, now time.Duration) *gate {
+	return &gate{tenant: tenant, tokens: tokens, share: share, at: now, lastAt: now}
 }
 
 // refill adds the tokens since the last call. part is the part of the allotment that this node and those that it counts
 // with may use.
-func (g *gate) refill(tenant *servicelist.Tenant, part float64, now time.Duration) {
+func (g *gate) refill(part float64, now time.Duration) {
 	if elapsed := now - g.at; elapsed > 0 {
-		g.tokens += tenant.Rate * part * elapsed.Seconds()
+		g.tokens += g.tenant.Rate * part * elapsed.Seconds()
 		g.demand *= math.Exp(-float64(elapsed) / float64(demandTime))
 		g.at = now
 	}
-	g.tokens = min(g.tokens, burst(tenant, part))
+	g.tokens = min(g.tokens, burst(g.tenant, part))
 }
 
 // minBurstTime is the time whose requests are saved up at least. Without it, a tenant with no burst would be refused
@@ -69,13 +70,14 @@
 func (g *gate) admit(
 	tenant *servicelist.Tenant, part float64, limited *limit, now time.Duration,
 ) (retryAfter time.Duration, ok bool) {
-	g.refill(tenant, part, now)
+	g.tenant = tenant
+	g.refill(part, now)
 	g.lastAt = now
 	g.demand += 1 / demandTime.Seconds()
 	if limited != nil {
 		g.share = min(g.share+limited.fraction, 2)
 	}
-	if wait := g.wait(tenant, part, limited); wait > 0 {
+	if wait := g.wait(part, limited); wait > 0 {
 		g.refused++
 		g.refusedAt = now
 		return min(max(wait, minRetryAfter), maxRetryAfter), false
@@ -89,10 +91,10 @@
 }
 
 // wait returns the expected time until the gate admits a request; 0: now.
-func (g *gate) wait(tenant *servicelist.Tenant, part float64, limited *limit) time.Duration {
+func (g *gate) wait(part float64, limited *limit) time.Duration {
 	var seconds float64
 	if g.tokens < 1 {
-		seconds = (1 - g.tokens) / (tenant.Rate * part)
+		seconds = (1 - g.tokens) / (g.tenant.Rate * part)
 	}
 	if limited != nil && g.share < 1 {
 		// While a debt is paid back, the fraction that follows is not known; the node's demand bounds it.
@@ -100,17 +102,17 @@
 		if limited.fraction > 0 {
 			granted *= limited.fraction
 		}
-		seconds = max(seconds, max(-limited.tokens, 0)/tenant.Rate+(1-g.share)/granted)
+		seconds = max(seconds, max(-limited.tokens, 0)/g.tenant.Rate+(1-g.share)/granted)
 	}
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // giveBack returns an admitted request. It returns false if there is none to return: credit must not arise from returns.
-func (g *gate) giveBack(tenant *servicelist.Tenant, part float64) bool {
+func (g *gate) giveBack(part float64) bool {
 	if g.returnable == 0 {
 		return false
 	}
 	g.returnable--
-	g.tokens = min(g.tokens+1, burst(tenant, part))
+	g.tokens = min(g.tokens+1, burst(g.tenant, part))
 	return true
 }
--- a/internal/allotment/message.go
+++ b/internal/allotment/message.go
@@ -90,11 +90,12 @@
 	d := decoder{data: data}
 	format, flags := d.byte(), d.byte()
 	r := &report{scope: scope(flags &^ hotFlag), hot: flags&hotFlag != 0, boot: d.uint64(), number: d.uvarint()}
-	r.rowsNumber = r.number - d.uvarint()
+	age := d.uvarint()
+	r.rowsNumber = r.number - age
 	r.nodes = int(min(d.uvarint(), math.MaxInt32))
 	r.from = string(d.bytes(d.uvarint()))
 	rows := d.uvarint()
-	if d.failed || format != messageFormat || rows > maxRows || r.scope > scopePeer {
+	if d.failed || format != messageFormat || rows > maxRows || r.scope > scopePeer || age > r.number {
 		return nil, errMalformed
 	}
 	for range rows {
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -159,7 +159,7 @@
 		if s.alone() {
 			tokens = 1 // all nodes of the system may have restarted at once
 		}
-		g = newGate(tokens, s.random(), now)
+		g = newGate(tenant, tokens, s.random(), now)
 		s.gates[id] = g
 	}
 	var limited *limit
@@ -184,10 +184,10 @@
 }
 
 // giveBack returns an admitted request of the tenant. It returns false if there is none to return.
-func (s *state) giveBack(id tenantID, tenant *servicelist.Tenant, now time.Duration) bool {
+func (s *state) giveBack(id tenantID, now time.Duration) bool {
 	s.settle(now)
 	g := s.gates[id]
-	if g == nil || !g.giveBack(tenant, s.part()) {
+	if g == nil || !g.giveBack(s.part()) {
 		return false
 	}
 	s.count(id, tally{admitted: -1}, scopeGroup, now)
@@ -353,7 +353,7 @@
 func (s *state) enterAlone(now time.Duration) {
 	s.fallbacks++
 	for id, g := range s.gates {
-		g.refill(s.tenants[id], s.part(), now)
+		g.refill(s.part(), now)
 		g.tokens = min(g.tokens, 1)
 		if a := s.accounts[id]; a != nil {
 			g.tokens = min(g.tokens, a.tokens)
@@ -702,7 +702,7 @@
 	s.sweptAt = now
 	for id, g := range s.gates {
 		if g.refused > 0 && now-g.refusedAt >= refusalPause {
-			s.record(limitChange{tenant: s.tenants[id].Name, refused: g.refused})
+			s.record(limitChange{tenant: g.tenant.Name, refused: g.refused})
 			g.refused = 0
 		}
 		if now-g.lastAt >= gateIdleTime {
