Divide the memory of callers by what holds it, and start requests early only while there is memory

Cause: one counter for incomplete heads and for buffered answers let callers that pipeline push out the heads of others. A caller that sends 16 requests and reads nothing holds the start of 16 answers in their handlers, which nothing counted. Change: half of caller_memory for heads, a quarter for requests in progress, a quarter for waiting answers, of which a request that is started early takes 32 KiB; without that it waits for its turn. Default an eighth of the machine's memory.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -8,8 +8,8 @@
 
 // Bounds limit what callers make the process hold before their requests are placed. A zero field selects its default.
 type Bounds struct {
-	// Memory limits the bytes of incomplete heads, of requests that wait for their turn and of buffered answers, over all
-	// connections, and separately those of the heads of requests in progress.
+	// Memory limits the bytes of all connections together. Half is for incomplete heads and for requests that wait for their
+	// turn, a quarter for the heads of requests in progress, and a quarter for answers that wait for those before them.
 	Memory int64
 	// Connections limits the open connections of callers.
 	Connections int
@@ -19,7 +19,7 @@
 
 // Defaults of Bounds.
 const (
-	DefaultMemory      = 16 << 20
+	DefaultMemory      = 32 << 20
 	DefaultConnections = 2048
 	DefaultHeaderLines = 512
 )
@@ -50,6 +50,17 @@
 	return taken+size <= limit
 }
 
+// Parts of Bounds.Memory, as divisors. Each kind has its own, so that a crowd of one kind leaves the others what they need.
+const (
+	headShare    = 2
+	requestShare = 4
+	answerShare  = 4
+)
+
+// overlapBytes is what a request counts as a waiting answer from its start, if those ahead of it are not answered, besides what
+// of its answer is buffered: its handler holds a part of the answer.
+const overlapBytes = 32 << 10
+
 // evictionShare is the part of a limit that is freed when the limit is reached, so that not each further byte or connection
 // needs another pass over all connections.
 const evictionShare = 16
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -260,7 +260,7 @@
 		c.pipelines = true
 	}
 	waited := false
-	for !c.mayStart(e) {
+	for !c.mayStart(e) || !c.reserveOverlap(e) {
 		if c.closed || c.closing && len(c.queue) == 0 || e == nil && len(c.queue) == 0 {
 			return false
 		}
@@ -285,6 +285,19 @@
 	return true
 }
 
+// reserveOverlap reserves memory for the answer of e if others before it are not complete, and reports whether there was enough.
+// The caller holds mu.
+func (c *conn) reserveOverlap(e *exchange) bool {
+	if len(c.queue) == 0 {
+		return true
+	}
+	if !c.server.reserve(overlapBytes) {
+		return false
+	}
+	e.reserved = overlapBytes
+	return true
+}
+
 // readWhileWaiting reads data until an exchange is completed. Once the buffer is full it only waits. The caller holds mu.
 func (c *conn) readWhileWaiting() error {
 	if c.end-c.start >= readBufferBytes {
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -22,6 +22,7 @@
 	cancel   context.CancelFunc
 	answer   answer
 	size     int // bytes that the head takes; 0: they are not counted
+	reserved int // bytes that are reserved for the answer because those before it are not complete
 
 	continueMu sync.Mutex // guards body.continues and the write of the informational answer
 
@@ -124,6 +125,7 @@
 func (e *exchange) end() {
 	e.cancel()
 	e.conn.server.requests.Add(-int64(e.size))
+	e.conn.server.unreserve(e.reserved)
 }
 
 // finish sends the rest of the answer and hands the connection on. It returns false if the answer is shorter than announced.
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -46,8 +46,9 @@
 type Server struct {
 	config   Config
 	bounds   Bounds
-	held     atomic.Int64 // bytes that count towards Bounds.Memory
+	held     atomic.Int64 // bytes of incomplete heads and of requests that wait for their turn
 	requests atomic.Int64 // bytes that the heads of requests in progress take
+	answers  atomic.Int64 // bytes of answers that wait for those before them
 	evicting atomic.Bool
 	draining atomic.Bool
 
@@ -187,26 +188,26 @@
 		return
 	}
 	added := int64(bytes) - c.heldBytes.Swap(int64(bytes))
-	if s.held.Add(added) > s.bounds.Memory && added > 0 {
+	if s.held.Add(added) > s.bounds.Memory/headShare && added > 0 {
 		s.evictMemory()
 	}
 }
 
 // reserve counts the bytes of a buffered answer, unless all connections together would hold too much.
 func (s *Server) reserve(bytes int) bool {
-	if s.held.Add(int64(bytes)) <= s.bounds.Memory {
+	if s.answers.Add(int64(bytes)) <= s.bounds.Memory/answerShare {
 		return true
 	}
-	s.held.Add(-int64(bytes))
+	s.answers.Add(-int64(bytes))
 	return false
 }
 
-func (s *Server) unreserve(bytes int) { s.held.Add(-int64(bytes)) }
+func (s *Server) unreserve(bytes int) { s.answers.Add(-int64(bytes)) }
 
 // admit counts a request that takes size bytes, unless the requests in progress take too much.
 func (s *Server) admit(size int) bool {
 	taken := s.requests.Add(int64(size)) - int64(size)
-	if admitsRequest(taken, int64(size), s.bounds.Memory) {
+	if admitsRequest(taken, int64(size), s.bounds.Memory/requestShare) {
 		return true
 	}
 	s.requests.Add(-int64(size))
@@ -216,22 +217,23 @@
 // Held is what callers make the process hold.
 type Held struct {
 	Connections int
-	Waiting     int64 // bytes of incomplete heads, of requests that wait for their turn and of buffered answers
+	Heads       int64 // bytes of incomplete heads and of requests that wait for their turn
 	Requests    int64 // bytes of the heads of requests in progress
-	Memory      int64 // limit of Waiting and of Requests, Bounds.Memory
+	Answers     int64 // bytes of answers that wait for those before them
+	Memory      int64 // limit of the three together, Bounds.Memory
 }
 
 // Held returns what callers make the process hold now.
 func (s *Server) Held() Held {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Held{len(s.conns), s.held.Load(), s.requests.Load(), s.bounds.Memory}
+	return Held{len(s.conns), s.held.Load(), s.requests.Load(), s.answers.Load(), s.bounds.Memory}
 }
 
 // evictMemory closes connections until the bytes are within their limit again or none is left to close. One goroutine does this
 // at a time; what others add meanwhile is seen before it ends.
 func (s *Server) evictMemory() {
-	for s.held.Load() > s.bounds.Memory && s.evicting.CompareAndSwap(false, true) {
+	for s.held.Load() > s.bounds.Memory/headShare && s.evicting.CompareAndSwap(false, true) {
 		evicted := s.evictHolders()
 		s.evicting.Store(false)
 		if !evicted {
@@ -243,7 +245,8 @@
 // evictHolders closes the connections that memoryVictims chooses and reports whether there was one.
 func (s *Server) evictHolders() (evicted bool) {
 	conns, holdings := s.holdings()
-	excess := s.held.Load() - s.bounds.Memory + s.bounds.Memory/evictionShare
+	limit := s.bounds.Memory / headShare
+	excess := s.held.Load() - limit + limit/evictionShare
 	for _, index := range memoryVictims(holdings, excess, time.Now()) {
 		if conns[index].evict() {
 			evicted = true
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -130,8 +130,9 @@
 		}
 		held := callers.Held()
 		metrics.Gauge("caller.connections").Update(int64(held.Connections))
-		metrics.Gauge("caller.waiting.bytes").Update(held.Waiting)
+		metrics.Gauge("caller.heads.bytes").Update(held.Heads)
 		metrics.Gauge("caller.requests.bytes").Update(held.Requests)
+		metrics.Gauge("caller.answers.bytes").Update(held.Answers)
 		metrics.Gauge("caller.memory.bytes").Update(held.Memory)
 	}
 }
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -13,9 +13,9 @@
 
 const (
 	// callerMemoryShare is the part of the machine's memory that callers may make the process hold by default, as a divisor.
-	callerMemoryShare = 16
-	minCallerMemory   = 4 << 20  // bytes
-	maxCallerMemory   = 64 << 20 // bytes, of the default
+	callerMemoryShare = 8
+	minCallerMemory   = 8 << 20   // bytes
+	maxCallerMemory   = 128 << 20 // bytes, of the default
 	// callerDescriptorShare is the part of the process's descriptors that the connections of callers may use by default, as a
 	// divisor. The others remain for targets, other nodes and the store.
 	callerDescriptorShare = 2
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,7 +55,7 @@
 	// at nodes that can't read the store. PlatformRows only; 0: no bound.
 	KeyWithdrawalBound time.Duration
 
-	// CallerMemory limits the bytes that callers make the process hold before their requests are placed; 0: a 16th of the
+	// CallerMemory limits the bytes that callers make the process hold before their requests are placed; 0: an 8th of the
 	// machine's memory.
 	CallerMemory int64
 	// CallerConnections limits the open connections of callers; 0: half of the descriptors.
