Bound connections and heads at the listeners for nodes, operators and check-ins

Only the listener of callers had bounds; a crowd elsewhere could use up the descriptors. Change: net/http listeners take a limit on connections and heads; the runtime's memory limit is three quarters of the machine's memory.

--- a/cmd/acacialockd/main.go
+++ b/cmd/acacialockd/main.go
@@ -9,6 +9,7 @@
 	"log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -61,6 +62,9 @@
 		fmt.Printf("%s: ok\n", args.Config)
 		return 0
 	}
+	if limit := settings.MemoryLimit(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(limit)
+	}
 	sink := logsink.New(os.Stdout, logsink.MaxBytesPerSecond)
 	defer sink.Close()
 	if err := setUpLogging(sink, args.Level); err != nil {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -20,13 +20,22 @@
 			Name: "entry", Addr: d.settings.EntryAddr, Limits: d.entry.CallerLimits, DrainOnShutdown: true,
 			Handler:    framing.Handler(framing.CloseConnectionsWhile(&d.draining, d.entry), d.entry.RefuseHeader),
 			MayOverlap: d.entry.MayOverlap, Bounds: d.settings.CallerBounds(),
-			Count: func(name string) { d.metrics.Counter(name).Inc(1) },
+			Count: d.countEvent,
+		},
+		serving.Listener{
+			Name: "peer", Addr: d.settings.PeerAddr, Handler: d.peerHandler(), DrainOnShutdown: true,
+			MaxConnections: d.settings.MaxPeerConnections(), Count: d.countEvent,
+		},
+		serving.Listener{
+			Name: "admin", Addr: d.settings.AdminAddr, Handler: d.adminHandler(),
+			MaxHeaderBytes: serving.LocalHeaderBytes, MaxConnections: serving.LocalConnections, Count: d.countEvent,
 		},
-		serving.Listener{Name: "peer", Addr: d.settings.PeerAddr, Handler: d.peerHandler(), DrainOnShutdown: true},
-		serving.Listener{Name: "admin", Addr: d.settings.AdminAddr, Handler: d.adminHandler()},
 	)
 }
 
+// countEvent counts an event of a listener.
+func (d *Daemon) countEvent(name string) { d.metrics.Counter(name).Inc(1) }
+
 // peerHandler returns the handler for requests of other nodes. Forwarded requests bypass the mux, which would redirect paths
 // with "//" or "..".
 func (d *Daemon) peerHandler() http.Handler {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,14 +171,26 @@
 			Name: "entry", Addr: n.settings.EntryAddr, Limits: n.entry.CallerLimits, DrainOnShutdown: true,
 			Handler:    framing.Handler(framing.CloseConnectionsWhile(&n.draining, callers), n.entry.RefuseHeader),
 			MayOverlap: n.entry.MayOverlap, Bounds: n.settings.CallerBounds(),
-			Count: func(name string) { n.metrics.Counter(name).Inc(1) },
+			Count: n.countEvent,
+		},
+		serving.Listener{
+			Name: "peer", Addr: n.settings.PeerAddr, Handler: n.peerHandler(), DrainOnShutdown: true,
+			MaxConnections: n.settings.MaxPeerConnections(), Count: n.countEvent,
+		},
+		serving.Listener{
+			Name: "admin", Addr: n.settings.AdminAddr, Handler: n.adminHandler(),
+			MaxHeaderBytes: serving.LocalHeaderBytes, MaxConnections: serving.LocalConnections, Count: n.countEvent,
+		},
+		serving.Listener{
+			Name: "check-in", Addr: n.settings.CheckInAddr, Handler: n.platform.CheckInHandler(n.target),
+			MaxHeaderBytes: serving.LocalHeaderBytes, MaxConnections: serving.LocalConnections, Count: n.countEvent,
 		},
-		serving.Listener{Name: "peer", Addr: n.settings.PeerAddr, Handler: n.peerHandler(), DrainOnShutdown: true},
-		serving.Listener{Name: "admin", Addr: n.settings.AdminAddr, Handler: n.adminHandler()},
-		serving.Listener{Name: "check-in", Addr: n.settings.CheckInAddr, Handler: n.platform.CheckInHandler(n.target)},
 	)
 }
 
+// countEvent counts an event of a listener.
+func (n *Node) countEvent(name string) { n.metrics.Counter(name).Inc(1) }
+
 // peerHandler serves requests from other nodes. Forwarded paths bypass the mux, which would redirect paths that contain
 // "//" or "..".
 func (n *Node) peerHandler() http.Handler {
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -25,6 +25,12 @@
 	idleTimeout = 150 * time.Second
 )
 
+// Bounds of listeners that few clients on the machine or its platform use: a request has a few short header lines.
+const (
+	LocalHeaderBytes = 32 << 10
+	LocalConnections = 256
+)
+
 // Listener is the configuration of a listener and its HTTP server.
 type Listener struct {
 	Name    string // used in error messages
@@ -33,10 +39,14 @@
 	// Limits returns the limits on requests of callers. If set, the listener is served by internal/callerhttp, and Handler must be
 	// a framing.Refuser. If nil, there are no limits, and the listener is served by net/http.
 	Limits func() framing.Limits
-	// Bounds, MayOverlap and Count are those of callerhttp.Config. They apply if Limits is set.
+	// Bounds and MayOverlap are those of callerhttp.Config. They apply if Limits is set.
 	Bounds     callerhttp.Bounds
 	MayOverlap func(r *http.Request) bool
-	Count      func(name string)
+	// Count counts refusals and closed connections under a name; nil: they are not counted.
+	Count func(name string)
+	// MaxHeaderBytes and MaxConnections limit the size of a request's head and the open connections; 0: the default of net/http,
+	// and no limit. They apply if Limits is nil.
+	MaxHeaderBytes, MaxConnections int
 	// DrainOnShutdown is set if Shutdown waits for the requests of this listener.
 	DrainOnShutdown bool
 }
@@ -71,10 +81,14 @@
 		if config.Limits != nil {
 			opened.http = config.newCallerServer(onPanic)
 		} else {
+			if config.MaxConnections > 0 {
+				socket = newLimitedListener(socket, config.MaxConnections, func() { config.count("listener.refused." + config.Name) })
+			}
 			opened.socket = framing.NewListener(socket)
 			opened.http = &http.Server{
 				ConnContext: framing.ConnContext, ConnState: framing.ConnState,
 				Handler: config.recoverPanics(onPanic, config.Handler.ServeHTTP), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+				MaxHeaderBytes: config.MaxHeaderBytes,
 			}
 		}
 		s.all = append(s.all, opened)
@@ -82,6 +96,12 @@
 	return s, nil
 }
 
+func (l Listener) count(name string) {
+	if l.Count != nil {
+		l.Count(name)
+	}
+}
+
 // newCallerServer returns the server of a listener for callers.
 func (l Listener) newCallerServer(onPanic func()) *callerhttp.Server {
 	refuser := l.Handler.(framing.Refuser)
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -20,6 +20,10 @@
 	// divisor. The others remain for targets, other nodes and the store.
 	callerDescriptorShare = 2
 	maxCallerConnections  = 65536 // of the default
+	// peerDescriptorEighths is the part of the process's descriptors, in eighths, that connections from other nodes may use.
+	peerDescriptorEighths = 3
+	// memoryLimitQuarters is the part of the machine's memory, in quarters, from which on the runtime frees memory more often.
+	memoryLimitQuarters = 3
 	// Bounds of the settings.
 	maxBoundBytes      = 1 << 40
 	maxDescriptors     = 1 << 24
@@ -40,6 +44,14 @@
 	return callerhttp.Bounds{Memory: memory, Connections: connections, HeaderLines: s.CallerHeaderLines}
 }
 
+// MaxPeerConnections returns the bound on open connections from other nodes, 0 if the limit of the process is unknown.
+func (s *Settings) MaxPeerConnections() int {
+	return cmp.Or(s.Descriptors, descriptorLimit()) * peerDescriptorEighths / 8
+}
+
+// MemoryLimit returns the bytes from which on the runtime should free memory more often, 0 if the machine's memory is unknown.
+func MemoryLimit() int64 { return machineMemory() / 4 * memoryLimitQuarters }
+
 // machineMemory returns the memory of the machine in bytes, 0 if it is unknown.
 func machineMemory() int64 {
 	text, err := os.ReadFile("/proc/meminfo")
