--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -344,12 +344,11 @@
 	s.stop()
 	for {
 		conns, holdings := s.holdings()
-		inProgress, now := 0, time.Now()
+		inProgress := 0
 		for i, c := range conns {
-			switch h := holdings[i]; {
-			case !h.placed && !h.served && now.Sub(h.since) < newConnGrace:
-				inProgress++ // its first request may be on its way
-			case h.placed || !c.evict():
+			if holdings[i].placed {
+				inProgress += c.undrained()
+			} else if !c.evict() {
 				inProgress += c.undrained()
 			}
 		}
@@ -372,12 +371,8 @@
 	}
 }
 
-const (
-	// drainPollInterval is the interval at which Shutdown looks for connections that have become idle.
-	drainPollInterval = 20 * time.Millisecond
-	// newConnGrace is the time for which Shutdown waits for the first request of a new connection, as net/http does.
-	newConnGrace = 5 * time.Second
-)
+// drainPollInterval is the interval at which Shutdown looks for connections that have become idle.
+const drainPollInterval = 20 * time.Millisecond
 
 // Close closes the listener and all connections at once. The requests in progress are cancelled.
 func (s *Server) Close() error {
