--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -261,7 +261,7 @@
 	}
 	waited := false
 	for !c.mayStart(e) || !c.reserveOverlap(e) {
-		if c.closed || c.closing && len(c.queue) == 0 || e == nil && len(c.queue) == 0 {
+		if c.closed || len(c.queue) == 0 { // it may never start
 			return false
 		}
 		c.heldBack, waited = e, true
@@ -325,7 +325,7 @@
 // mayStart reports whether e may be started beside the exchanges in progress. The caller holds mu.
 func (c *conn) mayStart(e *exchange) bool {
 	switch {
-	case e == nil || c.closed || c.closing:
+	case e == nil || c.closed || c.closing || c.server.draining.Load():
 		return false
 	case len(c.queue) == 0:
 		return true
