Keep the Connection header that a draining node sets on the answers of targets

Cause: framing.CloseConnectionsWhile sets Connection: close before the handler runs; entry removed it again with the hop-by-hop headers of the target's answer, so that only refusals announced the close. Change: the header that the node itself has set is kept. platform.TestPipelinedRequestsAndStop fails without this; it also shows order, overlap and a single run of a purchase behind searches.

--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -47,11 +48,21 @@
 
 // copyHeader copies a response header without hop-by-hop and internal headers.
 func copyHeader(dst, src http.Header) {
+	connection := dst["Connection"]
 	for name, values := range src {
 		dst[name] = values
 	}
-	wire.RemoveHopByHop(dst)
-	wire.RemoveHeaders(dst, internalHeaders)
+	removeInternal(dst, connection)
+}
+
+// removeInternal removes hop-by-hop and internal headers, except the Connection header that the node itself has set for its
+// connection with the caller.
+func removeInternal(header http.Header, connection []string) {
+	wire.RemoveHopByHop(header)
+	wire.RemoveHeaders(header, internalHeaders)
+	if connection != nil {
+		header["Connection"] = connection
+	}
 }
 
 // copyBody copies the response body and returns the number of bytes that it copied. When the body's length is unknown it
@@ -104,11 +115,11 @@
 // writeStoredAnswer responds with the stored answer of an earlier attempt.
 func writeStoredAnswer(w http.ResponseWriter, answer *rpc.Answer) {
 	header := w.Header()
+	connection := slices.Clone(header["Connection"])
 	for _, field := range answer.Header {
 		header.Add(field.Name, field.Value)
 	}
-	wire.RemoveHopByHop(header)
-	wire.RemoveHeaders(header, internalHeaders)
+	removeInternal(header, connection)
 	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(int(answer.Status))
 	_, _ = w.Write(answer.Body) // the caller may have disconnected; the answer stays stored
