Admit a request of a tenant that a newer list no longer limits

A request that began under the former list could reach admit after the state was configured for a list in which its tenant has no rate. Such a request is admitted without a gate.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/acacialock/acacialock/internal/servicelist"
 )
 
 // TestMain fixes the seed of property tests; -rapid.seed on the command line changes it.
@@ -248,3 +250,20 @@
 		n.state.admit(s.ids[i%len(s.ids)], s.tenants[i%len(s.ids)], now)
 	}
 }
+
+// Guards against a process that ends because a request that began under the former list is admitted after its tenant was
+// removed or lost its rate.
+func TestRequestOfRemovedTenant(t *testing.T) {
+	s := newSimulation(8, 2, 1, 1, 10)
+	node, now := s.nodes[0].state, time.Hour
+	node.configure(map[tenantID]*servicelist.Tenant{}, nil, s.nodes[0].member)
+	refused := 0
+	for range 100 {
+		if _, ok := node.admit(s.ids[0], s.tenants[0], now); !ok {
+			refused++
+		}
+	}
+	node.poll(now + refusalPause)
+	node.enterAlone(now + refusalPause)
+	assert.Equal(t, refused, 0, "refused by a limit that is no longer in the list")
+}
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -147,8 +147,12 @@
 	}
 }
 
-// admit takes a request of the tenant at this node.
+// admit takes a request of the tenant at this node. A request that began under a former list may be one of a tenant that has
+// no rate any more.
 func (s *state) admit(id tenantID, tenant *servicelist.Tenant, now time.Duration) (retryAfter time.Duration, ok bool) {
+	if s.tenants[id] == nil {
+		return 0, true
+	}
 	s.settle(now)
 	g := s.gates[id]
 	if g == nil {
