Let the node of a draining target report its requests to another node

The other nodes don't rank a node whose target drains, but the node ranked itself. The best node of a region then had no parent and no reports, and admitted its part of each allotment only, although it still served its callers.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -267,3 +267,24 @@
 	node.enterAlone(now + refusalPause)
 	assert.Equal(t, refused, 0, "refused by a limit that is no longer in the list")
 }
+
+// release: the targets of the best nodes of a region and of a group drain. Guards against nodes that still serve callers and
+// refuse usual traffic because no other node reports to them.
+func TestNodesOfDrainingTargetsRefuseNoUsualTraffic(t *testing.T) {
+	s := newSimulation(9, 79, 2, 82, 330)
+	s.run(settled)
+	for i := range 4 {
+		s.nodes[i].member.Draining = true
+	}
+	s.configure()
+	s.run(2 * calmLifetime) // the other nodes choose another receiver
+	for tenant := range s.tenants {
+		s.refused[tenant], s.beyond[tenant] = 0, 0
+	}
+	s.run(15 * time.Second)
+	for tenant, refused := range s.refused {
+		assert.Check(t, refused <= s.beyond[tenant], "tenant %d: %d refused, %d beyond the allotment", tenant, refused, s.beyond[tenant])
+	}
+	tenant, part := s.worst()
+	assert.Check(t, part <= 1, "tenant %d: %.2f of the rule", tenant, part)
+}
--- a/internal/allotment/simulation_test.go
+++ b/internal/allotment/simulation_test.go
@@ -138,15 +138,25 @@
 	n.boots++
 	n.dead = false
 	n.state = newState(fmt.Sprintf("n%d", i), s.random.Uint64(), s.random.Float64)
-	var members []cluster.Member
-	for _, other := range s.nodes {
-		members = append(members, other.member)
-	}
-	n.state.configure(s.index, members, n.member)
+	n.state.configure(s.index, s.members(), n.member)
 	// The processes don't start in step.
 	s.after(time.Duration(s.random.Int63n(int64(200*time.Millisecond))), func() { s.poll(i, n.boots) })
 }
 
+func (s *simulation) members() (members []cluster.Member) {
+	for _, n := range s.nodes {
+		members = append(members, n.member)
+	}
+	return members
+}
+
+// configure tells all nodes the members as they are now.
+func (s *simulation) configure() {
+	for _, n := range s.nodes {
+		n.state.configure(s.index, s.members(), n.member)
+	}
+}
+
 func (s *simulation) after(d time.Duration, run func()) { heap.Push(&s.events, event{s.now + d, run}) }
 
 func (s *simulation) clock(n *simNode) time.Duration { return s.now + n.skew }
--- a/internal/membership/hierarchy.go
+++ b/internal/membership/hierarchy.go
@@ -9,14 +9,15 @@
 // Hierarchy is the tree in which the nodes collect sums: a node reports to the best member of its group, that one to the
 // best member of its region, and those exchange sums. It is the tree in which the tables are relayed. It is immutable.
 type Hierarchy struct {
-	self   string
-	own    readerRanking
-	others [][]cluster.Member // ranked members of each other region, by the name of the region
+	self     string
+	draining bool // the other nodes don't rank this one
+	own      readerRanking
+	others   [][]cluster.Member // ranked members of each other region, by the name of the region
 }
 
 // NewHierarchy returns the tree of the members as self sees it.
 func NewHierarchy(members []cluster.Member, self cluster.Member) Hierarchy {
-	hierarchy := Hierarchy{self: self.ID, own: rankReaders(members, self)}
+	hierarchy := Hierarchy{self: self.ID, draining: self.Draining, own: rankReaders(members, self)}
 	representatives := map[string]cluster.Member{}
 	var regions []string
 	for _, member := range members {
@@ -34,9 +35,10 @@
 }
 
 // Parent returns the best member that isn't avoided and ranks before this node. regional reports that this node is the best
-// one of its group, so that the parent must be one without a parent of its own. ok is false if this node is the best one.
+// one of its group, so that the parent must be one without a parent of its own. ok is false if this node is the best one. All
+// other members rank before a draining node, since none of them reports to it.
 func (h Hierarchy) Parent(avoided func(addr string) bool) (parent cluster.Member, regional, ok bool) {
-	chosen, ok := h.own.choose(h.self, false, avoided)
+	chosen, ok := h.own.choose(h.self, h.draining, avoided)
 	return chosen.member, chosen.scope == scopeRegion, ok
 }
 
