Follow the sender of a follow request when the store is lost and no other member is known

A node whose store became silent before it had read the row of another node knew nobody to follow and learned nothing until the store answered, although other nodes asked it for the tables each second.

--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -104,6 +104,8 @@
 	followers    int
 	changed      chan struct{} // closed and replaced at each change
 
+	recent recentFollowers
+
 	proof     listProof
 	statesAge bool // frames state the age of the list
 	// listHeld is true while the relayed list is later than that of the store, which came back from an older copy. The first
@@ -313,6 +315,7 @@
 		http.Error(w, "a follower names the versions that it knows", http.StatusBadRequest)
 		return
 	}
+	r.recent.record(request.Header)
 	scope := scopeGroup
 	if request.Header.Get(headerFollowScope) == string(scopeRegion) {
 		scope = scopeRegion
--- a/internal/membership/relay_test.go
+++ b/internal/membership/relay_test.go
@@ -349,3 +349,17 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// Guards against a node that learns nothing because it lost the store before it read the row of another node, although that
+// one asks to follow it.
+func TestNodeWithoutMembersFollowsItsFollower(t *testing.T) {
+	feed := newMemoryFeed()
+	putList(feed, 1)
+	alone := startZone(t, feed, "a")[0]
+	alone.feed.unavailable.Store(true)
+	startZone(t, feed, "b", "c")
+	putList(feed, 2)
+	eventually(t, "the list is in force", func() bool { return alone.listVersion() == 2 })
+	eventually(t, "all members are known", func() bool { return len(alone.view.Load().Members["shop"]) == 3 })
+	assert.Assert(t, alone.feed.unavailable.Load())
+}
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -90,6 +90,7 @@
 	request.Header.Set(headerFollowScope, string(reader.scope))
 	request.Header.Set(headerMembersVersion, strconv.FormatUint(d.members.version.Load(), 10))
 	request.Header.Set(headerListVersion, strconv.FormatUint(d.list.version.Load(), 10))
+	setFollower(request.Header, d.selfMember())
 	sentAt := timing.SinceBoot()
 	response, err := d.config.Peers.Do(request)
 	if err != nil {
@@ -174,13 +175,16 @@
 }
 
 // search connects to the best member that relays the tables, trying at most maxConnectsPerSearch, and returns its stream, or
-// nil if there is none or this node has to read the store itself.
+// nil if there is none or this node has to read the store itself. A node that lost the store and knows no other member tries
+// those that asked to follow it.
 func (d *Directory) search(ctx context.Context, storeLost bool) *readerStream {
 	refused := map[string]bool{} // by peer address
+	avoided := func(addr string) bool { return refused[addr] || d.isAvoided(addr) }
 	for range maxConnectsPerSearch {
-		reader, ok := d.ranking.Load().choose(d.selfID(), storeLost, func(addr string) bool {
-			return refused[addr] || d.isAvoided(addr)
-		})
+		reader, ok := d.ranking.Load().choose(d.selfID(), storeLost, avoided)
+		if !ok && storeLost {
+			reader, ok = d.relay.recent.choose(avoided)
+		}
 		if !ok || ctx.Err() != nil {
 			return nil
 		}
@@ -246,14 +250,17 @@
 	return nil
 }
 
-// selfID returns the ID of this node's member in its ranking.
-func (d *Directory) selfID() string {
+// selfMember returns this node's member in its ranking.
+func (d *Directory) selfMember() cluster.Member {
 	if own := d.announcedRow.Load(); own != nil {
-		return own.Member.ID
+		return own.Member
 	}
-	return d.config.Self.ID
+	return d.config.Self
 }
 
+// selfID returns the ID of this node's member in its ranking.
+func (d *Directory) selfID() string { return d.selfMember().ID }
+
 // isAvoided reports whether the reader at a peer address failed less than failedReaderBackoff ago.
 func (d *Directory) isAvoided(addr string) bool { return time.Now().Before(d.avoidUntil[addr]) }
 
