Read the health path when a connection breaks during a warm-up

AssumeCold replaced a stated end of the warm-up by an unknown one and asked the target only if it had been warm before. A target whose health path states no pace, which is not read for requests, then stayed at the rate of a cold one until a check-in at least 5 s later. TestBrokenConnectionDoesNotExtendWarmUp: still cold at the stated end before, warm now.

--- a/internal/admission/cold.go
+++ b/internal/admission/cold.go
@@ -162,15 +162,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	wasCold := l.cold.active(now)
+	wasCold, wasAssumed := l.cold.active(now), l.cold.assumed
 	l.cold.assume(now)
-	if wasCold || !l.cold.active(now) {
+	if !l.cold.active(now) {
 		return false
 	}
-	if l.readPace != nil {
+	if l.readPace != nil && !wasAssumed {
 		l.schedulePaceRead(now) // the health path states whether the target is cold
 	}
-	return true
+	return !wasCold
 }
 
 // ColdFor returns the time for which the target still warms up, as far as it is known; 0: it is warm, not bounded or not
--- a/internal/admission/cold_test.go
+++ b/internal/admission/cold_test.go
@@ -125,3 +125,22 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a warm-up that lasts beyond the end that the target stated because a connection broke meanwhile and nothing
+// asks the target again.
+func TestBrokenConnectionDoesNotExtendWarmUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(Limits{Slots: 5, Queue: 5})
+		l.SetColdRate(12)
+		warmAt := time.Now().Add(3 * time.Second)
+		l.SetPaceReader(func() (float64, bool) {
+			l.ReportWarmUp(max(0, time.Until(warmAt)))
+			return 1, true
+		})
+		l.ReportWarmUp(time.Until(warmAt))
+		time.Sleep(2 * time.Second)
+		l.AssumeCold()
+		time.Sleep(time.Second)
+		assert.Assert(t, !l.IsCold())
+	})
+}
