Send the first report with the first request after a list with tenants

A node looks for tenants with a rate once per second while it knows none. A restarted node served callers meanwhile and admitted its own part of each allotment only. TestFirstRequestAfterListSendsReport: no report due before, one now.

--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -131,7 +131,11 @@
 			members = append(members, ofService...)
 		}
 	}
+	wasIdle := a.state.idle()
 	a.state.configure(tenants, members, snapshot.Self)
+	if wasIdle && !a.state.idle() {
+		a.signal() // until the first answer, the node admits its own part only
+	}
 }
 
 // Run sends reports until ctx ends.
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
 // TestMain fixes the seed of property tests; -rapid.seed on the command line changes it.
@@ -288,3 +290,18 @@
 	tenant, part := s.worst()
 	assert.Check(t, part <= 1, "tenant %d: %.2f of the rule", tenant, part)
 }
+
+// Guards against a restarted node that refuses usual traffic for a second, because it reports to no other node until it looks
+// for tenants again.
+func TestFirstRequestAfterListSendsReport(t *testing.T) {
+	view := cluster.NewView(&cluster.Snapshot{})
+	a := New(Config{Name: "n", View: view, Metrics: telemetry.New()})
+	_, pause := a.poll()
+	assert.Equal(t, pause, snapshotInterval)
+	tenant := &servicelist.Tenant{Name: "t", Rate: 5}
+	list := &servicelist.List{Tenants: servicelist.NewTenantSet(nil, []*servicelist.Tenant{tenant})}
+	view.Publish(&cluster.Snapshot{List: list})
+	_, admitted := a.Admit(tenant)
+	assert.Assert(t, admitted)
+	assert.Equal(t, len(a.wake), 1)
+}
