--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -19,6 +19,7 @@
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/servicelist"
 	"github.com/acacialock/acacialock/internal/telemetry"
+	"github.com/acacialock/acacialock/internal/timing"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -31,11 +32,6 @@
 	maxEventsPerSecond = 5
 )
 
-var processStart = time.Now()
-
-// sinceStart returns the time since the process started.
-func sinceStart() time.Duration { return time.Since(processStart) }
-
 // errRefused is the error of a report that the receiver doesn't take.
 var errRefused = errors.New("the node takes no reports now")
 
@@ -77,7 +73,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := sinceBoot()
+	now := timing.SinceBoot()
 	a.refresh()
 	if retryAfter, ok = a.state.admit(newTenantID(tenant.Name), tenant, now); ok {
 		a.config.Metrics.Counter("allotment.admitted").Inc(1)
@@ -98,7 +94,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh()
-	if a.state.giveBack(newTenantID(tenant.Name), tenant, sinceBoot()) {
+	if a.state.giveBack(newTenantID(tenant.Name), tenant, timing.SinceBoot()) {
 		a.config.Metrics.Counter("allotment.returned").Inc(1)
 	}
 }
@@ -167,7 +163,7 @@
 	if a.state.idle() {
 		return nil, snapshotInterval
 	}
-	now := sinceBoot()
+	now := timing.SinceBoot()
 	reports, next := a.state.poll(now)
 	a.report(now)
 	return reports, max(next-now, urgentInterval/10)
@@ -209,7 +205,7 @@
 	reply, err := a.exchange(ctx, sent.addr+wire.AllotmentPath, body)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch now := sinceBoot(); {
+	switch now := timing.SinceBoot(); {
 	case err == nil:
 		a.state.answered(sent, reply, now)
 	case errors.Is(err, errRefused):
@@ -295,7 +291,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh()
-	reply, ok := a.state.receive(received, sinceBoot())
+	reply, ok := a.state.receive(received, timing.SinceBoot())
 	if a.state.urgent() {
 		a.signal()
 	}
@@ -314,7 +310,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh()
-	a.state.receivePush(told, sinceBoot())
+	a.state.receivePush(told, timing.SinceBoot())
 	if a.state.urgent() {
 		a.signal()
 	}
