--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -44,7 +44,7 @@
 // hotTenants are tenants with a large, a middle and the smallest rate.
 var hotTenants = []int{0, 3, 40}
 
-// hot_tenant: a tenant sends 7.5 times its usual for 6 s. Guards against requests beyond the rule, and against less than
+// A tenant sends 7.5 times its usual for 6 s. Guards against requests beyond the rule, and against less than
 // nine tenths of the allotment.
 func TestHotTenantGetsItsAllotment(t *testing.T) {
 	for _, hot := range hotTenants {
@@ -64,7 +64,7 @@
 	return s.tenants[t].Rate*hotTime.Seconds() + s.tenants[t].Burst
 }
 
-// hot_tenant beside zone_cut: a zone or region is cut off from the others while a tenant sends 7.5 times its usual everywhere.
+// A zone or region is cut off from the others while a tenant sends 7.5 times its usual everywhere.
 // Guards against two sides that each use the whole allotment.
 func TestHotTenantBesideZoneCut(t *testing.T) {
 	for _, place := range []string{"z1", "r1"} {
@@ -89,7 +89,7 @@
 	}
 }
 
-// herd_kill: 55% of the nodes restart while a tenant is hot. Guards against new processes that each begin with a burst.
+// 55% of the nodes restart while a tenant sends 7.5 times its usual. Guards against new processes that each begin with a burst.
 func TestHerdRestartBesideHotTenant(t *testing.T) {
 	for _, hot := range hotTenants {
 		s := newSimulation(4, 79, 2, 82, 330)
@@ -307,7 +307,7 @@
 	}
 }
 
-// release: the targets of the best nodes of a region and of a group drain. Guards against nodes that still serve callers and
+// The targets of the best nodes of the regions and of a group drain, as in a release. Guards against nodes that still serve callers and
 // refuse usual traffic because no other node reports to them.
 func TestNodesOfDrainingTargetsRefuseNoUsualTraffic(t *testing.T) {
 	s := newSimulation(9, 79, 2, 82, 330)
