--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/servicelist"
+	"github.com/acacialock/acacialock/internal/telemetry"
 )
 
 // TestMain fixes the seed of property tests; -rapid.seed on the command line changes it.
@@ -42,7 +44,7 @@
 // hotTenants are tenants with a large, a middle and the smallest rate.
 var hotTenants = []int{0, 3, 40}
 
-// hot_tenant: a tenant sends 7.5 times its usual for 6 s. Guards against requests beyond the rule, and against less than
+// A tenant sends 7.5 times its usual for 6 s. Guards against requests beyond the rule, and against less than
 // nine tenths of the allotment.
 func TestHotTenantGetsItsAllotment(t *testing.T) {
 	for _, hot := range hotTenants {
@@ -62,7 +64,7 @@
 	return s.tenants[t].Rate*hotTime.Seconds() + s.tenants[t].Burst
 }
 
-// hot_tenant beside zone_cut: a zone or region is cut off from the others while a tenant sends 7.5 times its usual everywhere.
+// A zone or region is cut off from the others while a tenant sends 7.5 times its usual everywhere.
 // Guards against two sides that each use the whole allotment.
 func TestHotTenantBesideZoneCut(t *testing.T) {
 	for _, place := range []string{"z1", "r1"} {
@@ -87,7 +89,7 @@
 	}
 }
 
-// herd_kill: 55% of the nodes restart while a tenant is hot. Guards against new processes that each begin with a burst.
+// 55% of the nodes restart while a tenant sends 7.5 times its usual. Guards against new processes that each begin with a burst.
 func TestHerdRestartBesideHotTenant(t *testing.T) {
 	for _, hot := range hotTenants {
 		s := newSimulation(4, 79, 2, 82, 330)
@@ -304,3 +306,39 @@
 		n.state.admit(s.ids[i%len(s.ids)], s.tenants[i%len(s.ids)], now)
 	}
 }
+
+// The targets of the best nodes of the regions and of a group drain, as in a release. Guards against nodes that still serve callers and
+// refuse usual traffic because no other node reports to them.
+func TestNodesOfDrainingTargetsRefuseNoUsualTraffic(t *testing.T) {
+	s := newSimulation(9, 79, 2, 82, 330)
+	s.run(settled)
+	for i := range 4 {
+		s.nodes[i].member.Draining = true
+	}
+	s.configure()
+	s.run(2 * calmLifetime) // the other nodes choose another receiver
+	for tenant := range s.tenants {
+		s.refused[tenant], s.beyond[tenant] = 0, 0
+	}
+	s.run(15 * time.Second)
+	for tenant, refused := range s.refused {
+		assert.Check(t, refused <= s.beyond[tenant], "tenant %d: %d refused, %d beyond the allotment", tenant, refused, s.beyond[tenant])
+	}
+	tenant, part := s.worst()
+	assert.Check(t, part <= 1, "tenant %d: %.2f of the rule", tenant, part)
+}
+
+// Guards against a restarted node that refuses usual traffic for a second, because it reports to no other node until it looks
+// for tenants again.
+func TestFirstRequestAfterListSendsReport(t *testing.T) {
+	view := cluster.NewView(&cluster.Snapshot{})
+	a := New(Config{Name: "n", View: view, Metrics: telemetry.New()})
+	_, pause := a.poll()
+	assert.Equal(t, pause, snapshotInterval)
+	tenant := &servicelist.Tenant{Name: "t", Rate: 5}
+	list := &servicelist.List{Tenants: servicelist.NewTenantSet(nil, []*servicelist.Tenant{tenant})}
+	view.Publish(&cluster.Snapshot{List: list})
+	_, admitted := a.Admit(tenant)
+	assert.Assert(t, admitted)
+	assert.Equal(t, len(a.wake), 1)
+}
