Count the capacity of buffered answers, not their length

The buffer of an answer that waits for those before it was allocated for the rest of the announced length, up to 512 KiB, but only the bytes in it were counted. Eight pipelined requests for 400 KiB held 3.3 MB of which 9 KB were counted towards caller_memory and the connection's limit.

Buffers now grow ahead of need up to 32 KiB only, and their capacity is counted. TestBufferedAnswersTakeWhatIsCounted failed before.

--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -165,3 +166,46 @@
 		}
 	}
 }
+
+// Guards against buffered answers that take more memory than is counted: replays a caller that pipelines requests for large
+// files, whose first answer is slow.
+func TestBufferedAnswersTakeWhatIsCounted(t *testing.T) {
+	const length, waiting = 400 << 10, 8
+	g := newGate()
+	wrote := make(chan struct{}, waiting)
+	server, addr := startServer(t, Bounds{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			g.pass(r)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, 1000))
+		_ = http.NewResponseController(w).Flush()
+		wrote <- struct{}{}
+		g.pass(r)
+		_, _ = w.Write(make([]byte, length-1000))
+	})
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/slow")+strings.Repeat(get("/file"), waiting))
+	for range waiting {
+		<-wrote
+	}
+	conns, _ := server.holdings()
+	taken := int64(0)
+	conns[0].mu.Lock()
+	for _, e := range conns[0].queue {
+		taken += int64(cap(e.out))
+	}
+	conns[0].mu.Unlock()
+	assert.Equal(t, taken, server.Held().Waiting)
+	assert.Assert(t, taken <= maxBufferedBytes)
+	g.release("/file")
+	g.release("/slow")
+	readAnswer(reader, http.MethodGet)
+	for range waiting {
+		status, body, _ := readAnswer(reader, http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, len(body), length)
+	}
+	assert.Equal(t, server.Held().Waiting, int64(0))
+}
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -66,7 +66,7 @@
 	closed        bool
 	left          bool      // the caller has closed its connection, or half of it
 	waiting       int       // goroutines that wait for changed
-	outBytes      int       // buffered answers
+	outBytes      int       // capacity of the buffers of answers
 	served        bool      // a request was answered
 	since         time.Time // the last request was answered, or the connection was accepted
 	idleUntil     time.Time // while the queue is empty
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -12,9 +12,10 @@
 const (
 	// maxOverlapping is the greatest number of requests of one connection in progress.
 	maxOverlapping = 16
-	// maxBufferedBytes limits the answers of one connection that wait for those before them: maxOverlapping answers of 32 KiB.
-	// A handler that has more to write waits.
-	maxBufferedBytes = maxOverlapping * 32 << 10
+	// ampleOutBytes is the capacity up to which the buffer of an answer that waits for those before it grows ahead of need.
+	ampleOutBytes = 32 << 10
+	// maxBufferedBytes limits the buffers of such answers on one connection. A handler that has more to write waits.
+	maxBufferedBytes = maxOverlapping * ampleOutBytes
 	// A write that the caller does not read ends after minWriteTimeout to maxWriteTimeout. The deadline is moved only when it is
 	// nearer than minWriteTimeout, so that most writes set none.
 	minWriteTimeout = 30 * time.Second
@@ -85,19 +86,38 @@
 	for _, part := range parts {
 		size += len(part)
 	}
-	if c.outBytes+size > maxBufferedBytes || !c.server.reserve(size) {
+	if !c.makeOutRoom(e, size) {
 		return false
 	}
-	c.outBytes += size
-	if e.out == nil {
-		e.out = make([]byte, 0, max(size, min(size+int(max(e.answer.length-e.answer.written, 0)), maxBufferedBytes)))
-	}
 	for _, part := range parts {
 		e.out = append(e.out, part...)
 	}
 	return true
 }
 
+// makeOutRoom provides room for size bytes in the buffer of e, and for more of its answer as far as the limits permit. It
+// reports whether the bytes fit. The caller holds mu.
+func (c *conn) makeOutRoom(e *exchange, size int) bool {
+	needed := len(e.out) + size
+	if needed <= cap(e.out) {
+		return true
+	}
+	rest := int(min(max(e.answer.length-e.answer.written, 0), ampleOutBytes))
+	ample := max(needed, min(max(needed+rest, 2*cap(e.out)), ampleOutBytes))
+	return c.growOut(e, ample) || c.growOut(e, needed)
+}
+
+// growOut counts and allocates a buffer of the given capacity for e unless that exceeds a limit. The caller holds mu.
+func (c *conn) growOut(e *exchange, capacity int) bool {
+	added := capacity - cap(e.out)
+	if c.outBytes+added > maxBufferedBytes || !c.server.reserve(added) {
+		return false
+	}
+	c.outBytes += added
+	e.out = append(make([]byte, 0, capacity), e.out...)
+	return true
+}
+
 // announceClose decides whether the answer of e, whose header is complete now, says that the connection is closed. An answer
 // that wants that and has others in progress behind it leaves it to the last of them, since those would be lost. No request is
 // started beside those in progress then.
@@ -188,7 +208,7 @@
 		for _, e := range c.queue {
 			if len(e.out) > 0 {
 				parts = append(parts, e.out)
-				size += len(e.out)
+				size += cap(e.out)
 				e.out = nil
 			}
 			if !e.done || e.aborted || e.closes {
