Let a shutdown wait for connections that stay half-open

After pipelined requests the connection stays half-open for 500 ms, so that no reset destroys an answer that the caller has not read. Shutdown did not count such connections: the process ended at once and reset them.

Shutdown now waits for them while its context permits; they alone are no error. TestShutdownWaitsForHalfOpenConnections failed before.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -63,6 +63,7 @@
 	closing       bool        // the connection is closed when the queue is empty
 	pipelines     bool        // the caller has sent a request before the one ahead of it was answered
 	lingers       bool        // it is closed after lingerTimeout
+	lingering     bool        // it is closed for writing and still open for reading
 	closed        bool
 	left          bool      // the caller has closed its connection, or half of it
 	waiting       int       // goroutines that wait for changed
@@ -367,9 +368,11 @@
 		e.cancel()
 	}
 	c.changed.Broadcast()
-	lingers := c.lingers
+	tcp, ok := c.net.(interface{ CloseWrite() error })
+	c.lingering = ok && c.lingers && tcp.CloseWrite() == nil
+	lingering := c.lingering
 	c.mu.Unlock()
-	if tcp, ok := c.net.(interface{ CloseWrite() error }); ok && lingers && tcp.CloseWrite() == nil {
+	if lingering {
 		time.AfterFunc(lingerTimeout, c.closeNow)
 		return
 	}
@@ -379,6 +382,9 @@
 // closeNow closes the connection and releases it.
 func (c *conn) closeNow() {
 	_ = c.net.Close() // the connection is not used any more
+	c.mu.Lock()
+	c.lingering = false
+	c.mu.Unlock()
 	c.server.closedConn(c)
 }
 
@@ -403,12 +409,10 @@
 	return holding{bytes: int(c.heldBytes.Load()), placed: len(c.queue) > 0 || c.closed, served: c.served, since: c.since}
 }
 
-// undrained returns 1 while requests of the connection are in progress.
-func (c *conn) undrained() int {
+// state reports whether a request is in progress and whether the connection is open, or half-open after its last answer.
+func (c *conn) state() (hasRequest, isOpen bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) > 0 && !c.closed {
-		return 1
-	}
-	return 0
+	hasRequest = len(c.queue) > 0 && !c.closed
+	return hasRequest, hasRequest || c.lingering
 }
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -415,6 +415,28 @@
 	assert.NilError(t, <-ended)
 }
 
+// Guards against a process that exits, and thereby resets a connection that stays half-open, before the caller of pipelined requests
+// has read its last answer.
+func TestShutdownWaitsForHalfOpenConnections(t *testing.T) {
+	g := newGate()
+	server, addr := startServer(t, Bounds{}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/first")+get("/once"))
+	g.awaitStarted(t, 1)
+	server.awaitHeldBack(t)
+	ended := make(chan error)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	for !server.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	g.release("/first")
+	status, _, answer := readAnswer(reader, http.MethodGet)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, answer.Close)
+	assert.NilError(t, <-ended)
+	assert.Equal(t, server.Held().Connections, 0)
+}
+
 // Guards against a caller that does not read its answers and holds up others, or makes the process hold more than its bound.
 func TestCallerThatDoesNotReadHoldsUpItself(t *testing.T) {
 	const bound = 100 << 10
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -334,22 +334,15 @@
 	}
 }
 
-// Shutdown stops accepting, closes the connections without a request in progress and waits until the others have ended.
-// Answers that begin from now on close their connections. It returns the error of ctx if that ends first.
+// Shutdown stops accepting, closes the connections without a request in progress and waits until the others have ended, those
+// that stay half-open included: the end of the process would reset them. Answers that begin from now on close their
+// connections. It returns the error of ctx if that ends while requests are in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
 	s.stop()
 	for {
-		conns, holdings := s.holdings()
-		inProgress := 0
-		for i, c := range conns {
-			if holdings[i].placed {
-				inProgress += c.undrained()
-			} else if !c.evict() {
-				inProgress += c.undrained()
-			}
-		}
-		if inProgress == 0 {
+		inProgress, open := s.closeIdle()
+		if open == 0 || inProgress == 0 && ctx.Err() != nil {
 			s.endWorkers()
 			return nil
 		}
@@ -361,13 +354,34 @@
 		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			if inProgress > 0 {
+				return ctx.Err()
+			}
 		case <-changed:
 		case <-time.After(drainPollInterval):
 		}
 	}
 }
 
+// closeIdle closes the connections without a request in progress. It returns the number of connections that have one, and of
+// all that are still open.
+func (s *Server) closeIdle() (inProgress, open int) {
+	conns, _ := s.holdings()
+	for _, c := range conns {
+		if c.evict() {
+			continue
+		}
+		hasRequest, isOpen := c.state()
+		if hasRequest {
+			inProgress++
+		}
+		if isOpen {
+			open++
+		}
+	}
+	return inProgress, open
+}
+
 // drainPollInterval is the interval at which Shutdown looks for connections that have become idle.
 const drainPollInterval = 20 * time.Millisecond
 
