Ask for an expected body also after the write deadline has passed

The write deadline is set for 30 to 60 s at a write and stays in force while the connection is idle. "100 Continue" was written without moving it, so that on a connection reused after a minute the caller was not asked for its body. TestExpectedBodyAfterTheWriteDeadline failed before.

--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -572,6 +572,21 @@
 	assert.Assert(t, err != nil, "the connection is closed")
 }
 
+// Guards against a caller that waits in vain to be asked for its body, because the write deadline of the answer before has passed
+// while the connection was idle.
+func TestExpectedBodyAfterTheWriteDeadline(t *testing.T) {
+	server, addr := startServer(t, Bounds{}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/"))
+	readAnswer(reader, http.MethodGet)
+	conns, _ := server.holdings()
+	conns[0].setWriteDeadline(longPast)
+	write(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	line, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "HTTP/1.1 100 Continue\r\n")
+}
+
 // Guards against bodies whose end two servers may read differently: what follows must not be served as a request.
 func TestMalformedChunks(t *testing.T) {
 	var smuggled, failed atomic.Int64
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -164,7 +164,8 @@
 	defer e.continueMu.Unlock()
 	if e.body.continues {
 		e.body.continues = false
-		_, _ = e.conn.net.Write(continueAnswer) // a failure also fails the read of the body
+		e.conn.setWriteDeadline(time.Now().Add(maxWriteTimeout)) // the one in force may have passed while the connection was idle
+		_, _ = e.conn.net.Write(continueAnswer)                  // a failure also fails the read of the body
 	}
 }
 
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -56,7 +56,8 @@
 // write writes the parts at once. Only the goroutine that writes for the first exchange calls it.
 func (c *conn) write(parts [][]byte) (err error) {
 	if now := time.Now(); c.writeUntil.Sub(now) < minWriteTimeout {
-		c.extendWriteDeadline(now.Add(maxWriteTimeout))
+		c.writeUntil = now.Add(maxWriteTimeout)
+		c.setWriteDeadline(c.writeUntil)
 	}
 	if len(parts) == 1 {
 		_, err = c.net.Write(parts[0])
@@ -70,11 +71,10 @@
 	return err
 }
 
-// extendWriteDeadline sets the write deadline unless the caller has left.
-func (c *conn) extendWriteDeadline(until time.Time) {
+// setWriteDeadline sets the write deadline unless the caller has left.
+func (c *conn) setWriteDeadline(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeUntil = until
 	if !c.left {
 		_ = c.net.SetWriteDeadline(until) // fails only when the connection is closed
 	}
