Leave half of caller_memory to incomplete heads

Buffered answers of callers that pipeline could take all of caller_memory. Then each head that arrived in two parts went over the limit, and its connection was closed, although answers can wait and heads can't.

Answers are buffered up to half of it. TestBufferedAnswersLeaveRoomForHeads failed before.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -54,6 +54,10 @@
 // needs another pass over all connections.
 const evictionShare = 16
 
+// answersShare is the part of Bounds.Memory, as a divisor, up to which answers are buffered. A handler can wait until its answer
+// is the first; for an incomplete head, connections are closed.
+const answersShare = 2
+
 // holding is what a connection holds while its callers send.
 type holding struct {
 	bytes  int       // of an incomplete head
--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -209,3 +209,58 @@
 	}
 	assert.Equal(t, server.Held().Waiting, int64(0))
 }
+
+// Guards against answers that wait for those before them and take the memory of incomplete heads: an ordinary caller whose head
+// arrives in two parts was then closed.
+func TestBufferedAnswersLeaveRoomForHeads(t *testing.T) {
+	const limit, connections = 256 << 10, 4
+	g := newGate()
+	server, addr := startServer(t, Bounds{Memory: limit}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			g.pass(r)
+		case "/file":
+			for range 100 {
+				if _, err := w.Write(make([]byte, 4<<10)); err != nil {
+					return
+				}
+			}
+		}
+	})
+	for range connections {
+		conn, _ := dial(t, addr)
+		write(t, conn, get("/slow")+get("/file"))
+	}
+	g.awaitStarted(t, connections)
+	server.awaitFullBuffers(t, connections)
+	conn, reader := dial(t, addr)
+	write(t, conn, "GET / HTTP/1.1\r\n")
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		conns, holdings := server.holdings()
+		if len(conns) <= connections || slices.ContainsFunc(holdings, func(h holding) bool { return h.bytes > 0 }) {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end))
+	}
+	write(t, conn, "Host: x\r\n\r\n")
+	status, _, _ := readAnswer(reader, http.MethodGet)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// awaitFullBuffers waits until a handler waits on each of the first connections because no more of its answer may be buffered.
+func (s *Server) awaitFullBuffers(t *testing.T, connections int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		waiting := 0
+		conns, _ := s.holdings()
+		for _, c := range conns {
+			c.mu.Lock()
+			waiting += c.waiting
+			c.mu.Unlock()
+		}
+		if waiting == connections {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%d handlers wait", waiting)
+	}
+}
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -192,9 +192,9 @@
 	}
 }
 
-// reserve counts the bytes of a buffered answer, unless all connections together would hold too much.
+// reserve counts the bytes of a buffered answer, unless that leaves too little for incomplete heads.
 func (s *Server) reserve(bytes int) bool {
-	if s.held.Add(int64(bytes)) <= s.bounds.Memory {
+	if s.held.Add(int64(bytes)) <= s.bounds.Memory/answersShare {
 		return true
 	}
 	s.held.Add(-int64(bytes))
