Choose holders of incomplete heads by the time for which they hold them

When incomplete heads took more than caller_memory, connections were closed by bytes times the time since their last answer. An ordinary caller whose connection had been idle for a minute and whose head arrived in two parts was closed before a crowd that held the same bytes for seconds.

The time now counts from the first byte of the head. TestHeadsAreHeldFromTheirFirstByte failed before.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -60,14 +60,15 @@
 
 // holding is what a connection holds while its callers send.
 type holding struct {
-	bytes  int       // of an incomplete head
-	placed bool      // a request is in progress, or the connection ends
-	served bool      // a request was answered before
-	since  time.Time // the last request was answered, or the connection was accepted
+	bytes     int       // of an incomplete head
+	placed    bool      // a request is in progress, or the connection ends
+	served    bool      // a request was answered before
+	since     time.Time // the last request was answered, or the connection was accepted
+	heldSince time.Time // the first of the bytes arrived
 }
 
 // memoryVictims answers crowds that hold many incomplete heads. It returns the indexes of the connections to close so that
-// excess bytes become free: those first that have held the most for the longest time without a request, in bytes times seconds.
+// excess bytes become free: those first that have held the most for the longest time, in bytes times seconds.
 // Connections with a request in progress are never among them.
 func memoryVictims(holdings []holding, excess int64, now time.Time) []int {
 	victims := candidates(holdings, func(h holding) bool { return h.bytes > 0 })
@@ -84,7 +85,7 @@
 }
 
 func (h holding) byteSeconds(now time.Time) float64 {
-	return float64(h.bytes) * now.Sub(h.since).Seconds()
+	return float64(h.bytes) * now.Sub(h.heldSince).Seconds()
 }
 
 // connectionVictims answers crowds that hold many connections. It returns the indexes of count connections to close: those first
--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -21,10 +21,10 @@
 	now := time.Unix(1000, 0)
 	var holdings []holding
 	for i := range 60 {
-		holdings = append(holdings, holding{bytes: 16 << 10, since: now.Add(-10 * time.Second)})
+		holdings = append(holdings, holding{bytes: 16 << 10, since: now.Add(-time.Minute), heldSince: now.Add(-10 * time.Second)})
 		if i%3 == 0 {
-			holdings = append(holdings, holding{bytes: 4 << 10, since: now.Add(-50 * time.Millisecond), served: true},
-				holding{bytes: 1 << 20, since: now.Add(-time.Hour), placed: true})
+			holdings = append(holdings, holding{bytes: 4 << 10, since: now.Add(-time.Minute), heldSince: now.Add(-50 * time.Millisecond), served: true},
+				holding{bytes: 1 << 20, heldSince: now.Add(-time.Hour), placed: true})
 		}
 	}
 	const excess = 40 * 16 << 10
@@ -58,7 +58,7 @@
 		holdings := rapid.SliceOf(rapid.Custom(func(t *rapid.T) holding {
 			return holding{
 				bytes: rapid.IntRange(0, 1000).Draw(t, "bytes"), placed: rapid.Bool().Draw(t, "placed"),
-				since: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
+				heldSince: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
 			}
 		})).Draw(t, "holdings")
 		excess := rapid.IntRange(1, 5000).Draw(t, "excess")
@@ -264,3 +264,24 @@
 		assert.Assert(t, time.Now().Before(end), "%d handlers wait", waiting)
 	}
 }
+
+// Guards against an ordinary caller that is closed in place of a crowd: its connection was idle for long, and its next head has just
+// begun to arrive, while those of the crowd have stayed incomplete for seconds.
+func TestHeadsAreHeldFromTheirFirstByte(t *testing.T) {
+	server, addr := startServer(t, Bounds{}, func(http.ResponseWriter, *http.Request) {})
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/"))
+	readAnswer(reader, http.MethodGet)
+	conns, _ := server.holdings()
+	began := time.Now()
+	conns[0].mu.Lock()
+	conns[0].since = began.Add(-time.Minute)
+	conns[0].mu.Unlock()
+	write(t, conn, "GET / HTTP/1.1\r\n")
+	for end := time.Now().Add(testTimeout); server.Held().Waiting == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	held := conns[0].holding()
+	crowd := holding{bytes: held.bytes, since: began.Add(-5 * time.Second), heldSince: began.Add(-5 * time.Second)}
+	assert.DeepEqual(t, memoryVictims([]holding{held, crowd}, 1, began.Add(time.Second)), []int{1})
+}
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -71,6 +71,7 @@
 	served        bool      // a request was answered
 	since         time.Time // the last request was answered, or the connection was accepted
 	idleUntil     time.Time // while the queue is empty
+	headSince     time.Time // when the last head that did not arrive at once began
 	headUntil     time.Time // while a head arrives; zero: none
 	armed         time.Time // read deadline in force; zero: none
 
@@ -182,7 +183,8 @@
 		if timeout <= 0 {
 			timeout = defaultHeaderTimeout
 		}
-		c.headUntil = time.Now().Add(timeout)
+		c.headSince = time.Now()
+		c.headUntil = c.headSince.Add(timeout)
 	}
 	c.mu.Unlock()
 	c.server.hold(c, len(c.buffer))
@@ -406,7 +408,7 @@
 func (c *conn) holding() holding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return holding{bytes: int(c.heldBytes.Load()), placed: len(c.queue) > 0 || c.closed, served: c.served, since: c.since}
+	return holding{bytes: int(c.heldBytes.Load()), placed: len(c.queue) > 0 || c.closed, served: c.served, since: c.since, heldSince: c.headSince}
 }
 
 // state reports whether a request is in progress and whether the connection is open, or half-open after its last answer.
