Leave the deadline of the next head when a body has been discarded

The server removed the read deadline after it had discarded the rest of a body. By then the connection's reader could have set the one for an incomplete head behind the body; without it the caller kept the connection for any time.

The discard's own deadline stays now; the reader checks what holds when it fires, as it does for other deadlines. TestDiscardLeavesTheNextDeadline failed before.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -206,14 +206,17 @@
 		return false
 	}
 	b.exchange.conn.limitBody(discardTimeout)
-	defer b.exchange.conn.limitBody(0)
 	buffer := readBuffers.Get().(*[readBufferBytes]byte)
 	defer readBuffers.Put(buffer)
 	for discarded := 0; discarded < maxDiscardedBytes && b.err == nil; {
 		n, _ := b.read(buffer[:]) // the error is kept in err
 		discarded += n
 	}
-	return b.complete.Load()
+	if b.complete.Load() {
+		return true // the deadline is now that of the connection's reader, which checks it when it fires
+	}
+	b.exchange.conn.limitBody(0)
+	return false
 }
 
 // finish ends the reads of the body after its handler has returned, and lets the connection's reader continue. Unless the
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -669,3 +669,36 @@
 	wait.Wait()
 	assert.Equal(t, server.Held().Waiting, int64(0))
 }
+
+// deadlineConn is a connection from which a body can be read. It counts the read deadlines that are removed after the connection's
+// reader may read again.
+type deadlineConn struct {
+	net.Conn
+	body    io.Reader
+	bodyEnd func() chan struct{}
+	removed int
+}
+
+func (c *deadlineConn) RemoteAddr() net.Addr       { return &net.TCPAddr{} }
+func (c *deadlineConn) Read(p []byte) (int, error) { return c.body.Read(p) }
+
+func (c *deadlineConn) SetReadDeadline(until time.Time) error {
+	if len(c.bodyEnd()) > 0 && until.IsZero() {
+		c.removed++
+	}
+	return nil
+}
+
+// Guards against the read deadline of an incomplete head that is removed when the rest of the body before it has been discarded: its
+// caller could keep the connection for any time.
+func TestDiscardLeavesTheNextDeadline(t *testing.T) {
+	server := New(Config{Limits: func() framing.Limits { return framing.Limits{} }})
+	recorder := &deadlineConn{body: strings.NewReader("abc")}
+	c := newConn(server, recorder, time.Now())
+	recorder.bodyEnd = func() chan struct{} { return c.bodyEnd }
+	b := &body{exchange: &exchange{conn: c}, remaining: 3}
+	b.exchange.body = b
+	assert.Assert(t, b.finish(false))
+	assert.Equal(t, len(c.bodyEnd), 1)
+	assert.Equal(t, recorder.removed, 0)
+}
