--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -102,7 +102,7 @@
 func TestRequestsFreeTheirMemory(t *testing.T) {
 	g := newGate()
 	const limit, connections, lines = 8 << 10, 10, 3
-	server, addr := startServer(t, Bounds{Memory: limit}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
+	server, addr := startServer(t, Bounds{Memory: requestShare * limit}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
 	large := "GET /large HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 900) + "\r\n\r\n"
 	admitted := 2 * limit / (requestBytes + len(large) + lines*headerLineBytes)
 	var readers []func() int
@@ -151,7 +151,7 @@
 			held := server.Held()
 			assert.Assert(t, held.Connections <= bounds.Connections, "%d connections", held.Connections)
 		}
-		for end := time.Now().Add(testTimeout); server.Held().Waiting > bounds.Memory; time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(testTimeout); server.Held().Heads > bounds.Memory/headShare; time.Sleep(time.Millisecond) {
 			assert.Assert(t, time.Now().Before(end), "%+v", server.Held())
 		}
 		other, reader := dial(t, addr)
@@ -197,7 +197,7 @@
 		taken += int64(cap(e.out))
 	}
 	conns[0].mu.Unlock()
-	assert.Equal(t, taken, server.Held().Waiting)
+	assert.Equal(t, taken, server.Held().Answers-waiting*overlapBytes)
 	assert.Assert(t, taken <= maxBufferedBytes)
 	g.release("/file")
 	g.release("/slow")
@@ -207,15 +207,15 @@
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, len(body), length)
 	}
-	assert.Equal(t, server.Held().Waiting, int64(0))
+	server.requireNothingHeld(t)
 }
 
 // Guards against answers that wait for those before them and take the memory of incomplete heads: an ordinary caller whose head
 // arrives in two parts was then closed.
 func TestBufferedAnswersLeaveRoomForHeads(t *testing.T) {
-	const limit, connections = 256 << 10, 4
+	const connections = 4
 	g := newGate()
-	server, addr := startServer(t, Bounds{Memory: limit}, func(w http.ResponseWriter, r *http.Request) {
+	server, addr := startServer(t, Bounds{Memory: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/slow":
 			g.pass(r)
@@ -278,7 +278,7 @@
 	conns[0].since = began.Add(-time.Minute)
 	conns[0].mu.Unlock()
 	write(t, conn, "GET / HTTP/1.1\r\n")
-	for end := time.Now().Add(testTimeout); server.Held().Waiting == 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(testTimeout); server.Held().Heads == 0; time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end))
 	}
 	held := conns[0].holding()
