--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -415,6 +415,28 @@
 	assert.NilError(t, <-ended)
 }
 
+// Guards against a process that exits, and thereby resets a connection that stays half-open, before the caller of pipelined requests
+// has read its last answer.
+func TestShutdownWaitsForHalfOpenConnections(t *testing.T) {
+	g := newGate()
+	server, addr := startServer(t, Bounds{}, func(_ http.ResponseWriter, r *http.Request) { g.pass(r) })
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/first")+get("/once"))
+	g.awaitStarted(t, 1)
+	server.awaitHeldBack(t)
+	ended := make(chan error)
+	go func() { ended <- server.Shutdown(context.Background()) }()
+	for !server.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	g.release("/first")
+	status, _, answer := readAnswer(reader, http.MethodGet)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, answer.Close)
+	assert.NilError(t, <-ended)
+	assert.Equal(t, server.Held().Connections, 0)
+}
+
 // Guards against a caller that does not read its answers and holds up others, or makes the process hold more than its bound.
 func TestCallerThatDoesNotReadHoldsUpItself(t *testing.T) {
 	const bound = 1 << 20
@@ -558,6 +580,21 @@
 	assert.Assert(t, err != nil, "the connection is closed")
 }
 
+// Guards against a caller that waits in vain to be asked for its body, because the write deadline of the answer before has passed
+// while the connection was idle.
+func TestExpectedBodyAfterTheWriteDeadline(t *testing.T) {
+	server, addr := startServer(t, Bounds{}, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/"))
+	readAnswer(reader, http.MethodGet)
+	conns, _ := server.holdings()
+	conns[0].setWriteDeadline(longPast)
+	write(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	line, err := reader.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "HTTP/1.1 100 Continue\r\n")
+}
+
 // Guards against bodies whose end two servers may read differently: what follows must not be served as a request.
 func TestMalformedChunks(t *testing.T) {
 	var smuggled, failed atomic.Int64
@@ -640,3 +677,36 @@
 	wait.Wait()
 	server.requireNothingHeld(t)
 }
+
+// deadlineConn is a connection from which a body can be read. It counts the read deadlines that are removed after the connection's
+// reader may read again.
+type deadlineConn struct {
+	net.Conn
+	body    io.Reader
+	bodyEnd func() chan struct{}
+	removed int
+}
+
+func (c *deadlineConn) RemoteAddr() net.Addr       { return &net.TCPAddr{} }
+func (c *deadlineConn) Read(p []byte) (int, error) { return c.body.Read(p) }
+
+func (c *deadlineConn) SetReadDeadline(until time.Time) error {
+	if len(c.bodyEnd()) > 0 && until.IsZero() {
+		c.removed++
+	}
+	return nil
+}
+
+// Guards against the read deadline of an incomplete head that is removed when the rest of the body before it has been discarded: its
+// caller could keep the connection for any time.
+func TestDiscardLeavesTheNextDeadline(t *testing.T) {
+	server := New(Config{Limits: func() framing.Limits { return framing.Limits{} }})
+	recorder := &deadlineConn{body: strings.NewReader("abc")}
+	c := newConn(server, recorder, time.Now())
+	recorder.bodyEnd = func() chan struct{} { return c.bodyEnd }
+	b := &body{exchange: &exchange{conn: c}, remaining: 3}
+	b.exchange.body = b
+	assert.Assert(t, b.finish(false))
+	assert.Equal(t, len(c.bodyEnd), 1)
+	assert.Equal(t, recorder.removed, 0)
+}
