Place requests by the path that is sent on, byte for byte

wire.RequestPath takes the path from the request target as received, wire.SetPath makes net/http send it unchanged. Relayed calls and fingerprints of keys use the same bytes. Paths that can't be sent unchanged are refused with 400 before a target is chosen. The test of relayed calls sets RequestURI, as the server does, in place of URL.Path.

--- a/internal/entry/access_test.go
+++ b/internal/entry/access_test.go
@@ -286,7 +286,7 @@
 		claimed[c.key] = true
 
 		relayed := c.relayRequest(context.Background(), a.member)
-		relayed.URL.Path = "/"
+		relayed.RequestURI = "/"
 		again, failed := f.handler.newCall(relayed, true)
 		assert.Assert(t, failed == nil, "%v", failed)
 		assert.Equal(t, again.tenant, c.tenant)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -135,7 +135,7 @@
 	request.RequestURI = ""
 	request.URL.Scheme = "http"
 	request.URL.Host = a.member.PeerAddr
-	prefixPath(request, wire.ForwardPath)
+	wire.SetPath(request.URL, wire.ForwardPath+a.call.path)
 	prepareHeader(request.Header)
 	header := request.Header
 	header.Set(wire.Service, a.call.service.Name)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -27,6 +27,7 @@
 // call is the state of one caller's request while the entry node handles it.
 type call struct {
 	request      *http.Request
+	path         string // the request's path as it is sent on, not decoded
 	snapshot     *cluster.Snapshot
 	rule         *servicelist.Rule   // nil when the host names the service
 	tenant       *servicelist.Tenant // whose API key the caller gave; nil: the list has no tenants or the rule is public
@@ -59,7 +60,11 @@
 		return nil, failure.New(failure.NoServiceList, failure.NotRun, "the node knows no accepted service list yet")
 	}
 	h.config.Policies.Update(snapshot)
-	c := &call{request: request, snapshot: snapshot}
+	path, ok := wire.RequestPath(request.RequestURI)
+	if !ok {
+		return nil, failure.New(failure.BadRequest, failure.NotRun, "the path of %q can't be forwarded unchanged", request.RequestURI)
+	}
+	c := &call{request: request, path: path, snapshot: snapshot}
 	if failed := h.routeCall(c, listAge, peer); failed != nil {
 		return nil, failed
 	}
@@ -130,8 +135,8 @@
 	if list.Rules.Len() == 0 {
 		return c.setService(host)
 	}
-	if c.rule = list.Rules.Match(host, c.request.URL.Path); c.rule == nil {
-		return failure.New(failure.UnknownRoute, failure.NotRun, "no rule of list %d matches host %q and path %q", list.Version, host, c.request.URL.Path)
+	if c.rule = list.Rules.Match(host, c.path); c.rule == nil {
+		return failure.New(failure.UnknownRoute, failure.NotRun, "no rule of list %d matches host %q and path %q", list.Version, host, c.path)
 	}
 	return nil
 }
@@ -198,7 +203,7 @@
 	if c.rule != nil {
 		c.idempotent = c.rule.Idempotent
 	} else {
-		c.idempotent = c.service.IsIdempotent(c.request.Method, c.request.URL.Path)
+		c.idempotent = c.service.IsIdempotent(c.request.Method, c.path)
 	}
 	keys := c.request.Header.Values(wire.IdempotencyKey)
 	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKeyBytes)) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -108,13 +108,17 @@
 	if snapshot.List == nil {
 		return false
 	}
+	path, ok := wire.RequestPath(request.RequestURI)
+	if !ok {
+		return false
+	}
 	host := hostName(request.Host)
 	if snapshot.List.Rules.Len() > 0 {
-		rule := snapshot.List.Rules.Match(host, request.URL.Path)
+		rule := snapshot.List.Rules.Match(host, path)
 		return rule != nil && rule.Idempotent
 	}
 	service := snapshot.Service(host)
-	return service != nil && service.IsIdempotent(request.Method, request.URL.Path)
+	return service != nil && service.IsIdempotent(request.Method, path)
 }
 
 // EndCallsBy makes every call end at the given time at the latest: calls that arrive from now on get no later deadline,
@@ -131,8 +135,7 @@
 
 // ServeRelay serves a keyed call that an entry node of another region relayed under wire.RelayPath.
 func (h *Handler) ServeRelay(w http.ResponseWriter, request *http.Request) {
-	request.URL.Path = strings.TrimPrefix(request.URL.Path, wire.RelayPath)
-	request.URL.RawPath = strings.TrimPrefix(request.URL.RawPath, wire.RelayPath)
+	request.RequestURI = strings.TrimPrefix(request.RequestURI, wire.RelayPath)
 	h.serve(w, request, false)
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -57,7 +57,7 @@
 	claimResult, err := k.handler.config.Keys.Claim(ctx, keys.ClaimArgs{
 		Service:     k.call.service.Name,
 		Key:         k.call.key,
-		Fingerprint: wire.CallFingerprint(k.call.request.Method, k.call.request.URL.EscapedPath()),
+		Fingerprint: wire.CallFingerprint(k.call.request.Method, k.call.path),
 		Attempt:     id,
 		Runner:      pick.Member.ID,
 		Replaces:    k.replaces,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -67,7 +67,7 @@
 	request.RequestURI = ""
 	request.URL.Scheme = "http"
 	request.URL.Host = member.PeerAddr
-	prefixPath(request, wire.RelayPath)
+	wire.SetPath(request.URL, wire.RelayPath+c.path)
 	prepareHeader(request.Header)
 	if c.tenant != nil {
 		request.Header.Set(wire.TenantName, c.tenant.Name)
@@ -86,11 +86,3 @@
 		header["User-Agent"] = []string{""}
 	}
 }
-
-// prefixPath prepends a prefix to the request's path, and to its escaped form if that is set.
-func prefixPath(request *http.Request, prefix string) {
-	request.URL.Path = prefix + request.URL.Path
-	if request.URL.RawPath != "" {
-		request.URL.RawPath = prefix + request.URL.RawPath
-	}
-}
--- a/internal/inbound/parse.go
+++ b/internal/inbound/parse.go
@@ -25,7 +25,8 @@
 	call     attempt.Call
 	deadline time.Time
 	rank     admission.Request
-	url      *url.URL // path and query as sent by the caller
+	path     string   // as sent by the caller, not decoded
+	url      *url.URL // its RequestURI is path and query as sent by the caller
 	sends    int      // sends of the call so far, this one included; 0: not known
 }
 
@@ -45,8 +46,8 @@
 		timeout = h.serviceTimeout()
 	}
 	forwarded := &forwardedRequest{deadline: time.Now().Add(timeout)}
-	if forwarded.url = originalURL(r.URL); forwarded.url == nil {
-		return nil, notRun(failure.BadRequest, "path %q does not start with %s", r.URL.Path, wire.ForwardPath)
+	if !forwarded.setTarget(r) {
+		return nil, notRun(failure.BadRequest, "the path of %q does not start with %s or can't be forwarded unchanged", r.RequestURI, wire.ForwardPath)
 	}
 	forwarded.rank = admission.Request{Deadline: forwarded.deadline, HasAlternative: r.Header.Get(wire.Stay) == "",
 		Overflow: r.Header.Get(wire.Overflow) != "", CanOverflow: r.Header.Get(wire.CanOverflow) != ""}
@@ -94,18 +95,16 @@
 	return service.Timeout
 }
 
-// originalURL returns the URL without wire.ForwardPath, or nil if the path does not start with it.
-func originalURL(forwarded *url.URL) *url.URL {
-	path, ok := strings.CutPrefix(forwarded.Path, wire.ForwardPath)
+// setTarget sets the path and the URL to those that the caller sent, without wire.ForwardPath. It returns false if the request
+// target does not start with it or can't be forwarded unchanged.
+func (f *forwardedRequest) setTarget(r *http.Request) bool {
+	target, ok := strings.CutPrefix(r.RequestURI, wire.ForwardPath)
 	if !ok {
-		return nil
-	}
-	return &url.URL{
-		Path:       path,
-		RawPath:    strings.TrimPrefix(forwarded.RawPath, wire.ForwardPath),
-		RawQuery:   forwarded.RawQuery,
-		ForceQuery: forwarded.ForceQuery,
+		return false
 	}
+	f.path, _, _ = strings.Cut(target, "?")
+	f.url = &url.URL{RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	return wire.SetPath(f.url, f.path)
 }
 
 // parseCall parses the attempt id and the key. Idempotent requests may omit the attempt id.
@@ -143,7 +142,7 @@
 	}
 	forwarded.call.KeyInfo = &attempt.KeyInfo{
 		Key:           wire.ScopedKey(r.Header.Get(wire.TenantName), keys[0]),
-		Fingerprint:   wire.CallFingerprint(r.Method, forwarded.url.EscapedPath()),
+		Fingerprint:   wire.CallFingerprint(r.Method, forwarded.path),
 		Owner:         owner,
 		RosterVersion: version,
 		Retention:     h.keyRetention(),
