Let few nodes retry a lost store often, and the others wait for a reader after its return

Change: the first two members of a group retry after 1 s at most, the others after 3 s; a node for which another should read waits a second after the return, while it looks for that one.

--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -156,13 +156,14 @@
 		case err != nil:
 			d.markStoreLost(table, after, err)
 			if table.tracksStore {
-				retry.wait(ctx)
+				retry.waitAtMost(ctx, d.ranking.Load().maxRetryDelay(d.selfID()))
 			} else {
 				d.waitToRetry(ctx, &retry)
 			}
 			continue
 		}
-		if table.readFailed.Swap(false) {
+		regained := table.readFailed.Swap(false)
+		if regained {
 			klog.InfoS("store regained", "table", table.name, "version", version)
 			if table.tracksStore {
 				d.signalStoreRegained()
@@ -181,12 +182,25 @@
 			_ = timing.Sleep(ctx, table.firstReadDelay)
 			continue
 		}
+		if regained && table.tracksStore && d.awaitsReader() {
+			_ = timing.Sleep(ctx, regainedReadDelay+rand.N(regainedReadDelay/2))
+			continue
+		}
 		if len(rows) > 0 && table.pauseAfterChanges != nil {
 			_ = timing.Sleep(ctx, table.pauseAfterChanges()) // the loop condition checks ctx
 		}
 	}
 }
 
+// regainedReadDelay is the time after the return of the store before a node reads again for which another one should read. It
+// looks for that one meanwhile. Without it, all nodes of a fleet read each change after an outage until they had found a reader.
+const regainedReadDelay = time.Second
+
+// awaitsReader reports whether another node should read the store for this one, as far as it knows, and none follows this one.
+func (d *Directory) awaitsReader() bool {
+	return d.config.Peers != nil && d.ranking.Load().preferred(d.selfID()).member.ID != "" && !d.relay.hasFollowers()
+}
+
 // markStoreLost records a failed read of the store. The first failure after a success is logged and counted.
 func (d *Directory) markStoreLost(table *followedTable, after uint64, err error) {
 	if table.tracksStore {
@@ -222,7 +236,9 @@
 
 func (b *backoff) reset() { b.delay = 0 }
 
-func (b *backoff) wait(ctx context.Context) {
-	b.delay = min(max(2*b.delay, minRetryDelay), maxRetryDelay)
+func (b *backoff) wait(ctx context.Context) { b.waitAtMost(ctx, maxRetryDelay) }
+
+func (b *backoff) waitAtMost(ctx context.Context, limit time.Duration) {
+	b.delay = min(max(2*b.delay, minRetryDelay), limit)
 	_ = timing.Sleep(ctx, b.delay+rand.N(b.delay/2)) // callers check ctx
 }
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -113,6 +114,28 @@
 	return upstream{}, false
 }
 
+const (
+	// activeReaders is the number of members of a group that retry a lost store every maxRetryDelay.
+	activeReaders = 2
+	// standbyRetryDelay is the delay after which the others do. They look for a member that has the store again every
+	// readerSearchInterval, at no cost.
+	standbyRetryDelay = 3 * time.Second
+)
+
+// maxRetryDelay returns the longest delay after which this node reads a store that it has lost again. It answers an outage for
+// all nodes: each call is billed, and one node of a group is enough to notice the end.
+func (r readerRanking) maxRetryDelay(self string) time.Duration {
+	for i, member := range r.group {
+		if member.ID == self {
+			if i < activeReaders {
+				return maxRetryDelay
+			}
+			return standbyRetryDelay
+		}
+	}
+	return maxRetryDelay
+}
+
 // nobody avoids no member.
 func nobody(string) bool { return false }
 
--- a/internal/membership/ranking_test.go
+++ b/internal/membership/ranking_test.go
@@ -23,6 +23,26 @@
 	return ids
 }
 
+// Guards against an outage in which every node of a large group calls the store each second, and against one whose end
+// nobody notices soon.
+func TestFewNodesRetryLostStoreOften(t *testing.T) {
+	var members []cluster.Member
+	for i := range 20 {
+		members = append(members, cluster.Member{ID: fmt.Sprintf("n%02d", i), Zone: "z", PeerAddr: fmt.Sprint(i), LinkMbps: float64(i % 4)})
+	}
+	often := 0
+	for _, self := range members {
+		switch delay := rankReaders(members, self).maxRetryDelay(self.ID); delay {
+		case maxRetryDelay:
+			often++
+		default:
+			assert.Equal(t, delay, standbyRetryDelay)
+		}
+	}
+	assert.Equal(t, often, activeReaders)
+	assert.Equal(t, rankReaders(nil, members[0]).maxRetryDelay("n00"), maxRetryDelay)
+}
+
 // Guards against nodes of a group that rank its relays differently, against a relay in another zone, and against two nodes
 // of a region that read the store.
 func TestReaderRanking(t *testing.T) {
