--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -156,9 +156,12 @@
 		case err != nil:
 			d.markStoreLost(table, after, err)
 			if table.tracksStore {
-				retry.waitAtMost(ctx, d.ranking.Load().maxRetryDelay(d.selfID()))
+				retry.waitBetween(ctx, d.ranking.Load().retryDelays(d.selfID()))
 			} else {
 				d.waitToRetry(ctx, &retry)
+				if d.awaitsReader() {
+					_ = timing.Sleep(ctx, regainedReadDelay+rand.N(regainedReadDelay/2))
+				}
 			}
 			continue
 		}
@@ -236,9 +239,9 @@
 
 func (b *backoff) reset() { b.delay = 0 }
 
-func (b *backoff) wait(ctx context.Context) { b.waitAtMost(ctx, maxRetryDelay) }
+func (b *backoff) wait(ctx context.Context) { b.waitBetween(ctx, activeRetryDelays) }
 
-func (b *backoff) waitAtMost(ctx context.Context, limit time.Duration) {
-	b.delay = min(max(2*b.delay, minRetryDelay), limit)
+func (b *backoff) waitBetween(ctx context.Context, bounds retryDelays) {
+	b.delay = min(max(2*b.delay, bounds.min), bounds.max)
 	_ = timing.Sleep(ctx, b.delay+rand.N(b.delay/2)) // callers check ctx
 }
--- a/internal/membership/ranking.go
+++ b/internal/membership/ranking.go
@@ -114,26 +114,28 @@
 	return upstream{}, false
 }
 
-const (
-	// activeReaders is the number of members of a group that retry a lost store every maxRetryDelay.
-	activeReaders = 2
-	// standbyRetryDelay is the delay after which the others do. They look for a member that has the store again every
+// activeReaders is the number of members of a group that retry a lost store soon.
+const activeReaders = 2
+
+// retryDelays bound the delay before a failed read is retried.
+type retryDelays struct{ min, max time.Duration }
+
+var (
+	activeRetryDelays = retryDelays{minRetryDelay, maxRetryDelay}
+	// standbyRetryDelays are those of the other members. They look for a member that has the store again every
 	// readerSearchInterval, at no cost.
-	standbyRetryDelay = 3 * time.Second
+	standbyRetryDelays = retryDelays{time.Second, 3 * time.Second}
 )
 
-// maxRetryDelay returns the longest delay after which this node reads a store that it has lost again. It answers an outage for
-// all nodes: each call is billed, and one node of a group is enough to notice the end.
-func (r readerRanking) maxRetryDelay(self string) time.Duration {
+// retryDelays returns the delays after which this node reads a store that it has lost again. It answers an outage for all
+// nodes: each call is billed, and one node of a group is enough to notice the end.
+func (r readerRanking) retryDelays(self string) retryDelays {
 	for i, member := range r.group {
-		if member.ID == self {
-			if i < activeReaders {
-				return maxRetryDelay
-			}
-			return standbyRetryDelay
+		if member.ID == self && i >= activeReaders {
+			return standbyRetryDelays
 		}
 	}
-	return maxRetryDelay
+	return activeRetryDelays
 }
 
 // nobody avoids no member.
--- a/internal/membership/ranking_test.go
+++ b/internal/membership/ranking_test.go
@@ -32,15 +32,15 @@
 	}
 	often := 0
 	for _, self := range members {
-		switch delay := rankReaders(members, self).maxRetryDelay(self.ID); delay {
-		case maxRetryDelay:
+		switch delays := rankReaders(members, self).retryDelays(self.ID); delays {
+		case activeRetryDelays:
 			often++
 		default:
-			assert.Equal(t, delay, standbyRetryDelay)
+			assert.Equal(t, delays, standbyRetryDelays)
 		}
 	}
 	assert.Equal(t, often, activeReaders)
-	assert.Equal(t, rankReaders(nil, members[0]).maxRetryDelay("n00"), maxRetryDelay)
+	assert.Equal(t, rankReaders(nil, members[0]).retryDelays("n00"), activeRetryDelays)
 }
 
 // Guards against nodes of a group that rank its relays differently, against a relay in another zone, and against two nodes
