Let nodes of draining targets keep their rank and their part of the allotments

Such a node still serves callers. After the target has departed, its node reports to the best other one as before.

--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -307,22 +307,32 @@
 	}
 }
 
-// The targets of the best nodes of the regions and of a group drain, as in a release. Guards against nodes that still serve callers and
-// refuse usual traffic because no other node reports to them.
+// The targets of the best nodes of the regions and of a group drain and then depart, as in a release. Guards against nodes
+// that still serve callers and refuse usual traffic because no other node reports to them.
 func TestNodesOfDrainingTargetsRefuseNoUsualTraffic(t *testing.T) {
 	s := newSimulation(9, 79, 2, 82, 330)
 	s.run(settled)
 	for i := range 4 {
 		s.nodes[i].member.Draining = true
 	}
-	s.configure()
-	s.run(2 * calmLifetime) // the other nodes choose another receiver
-	for tenant := range s.tenants {
-		s.refused[tenant], s.beyond[tenant] = 0, 0
-	}
-	s.run(15 * time.Second)
-	for tenant, refused := range s.refused {
-		assert.Check(t, refused <= s.beyond[tenant], "tenant %d: %d refused, %d beyond the allotment", tenant, refused, s.beyond[tenant])
+	for _, step := range []string{"draining", "departed"} {
+		members := s.members()
+		if step == "departed" {
+			members = members[4:]
+		}
+		for _, n := range s.nodes {
+			n.state.configure(s.index, members, n.member)
+		}
+		if step == "departed" {
+			s.run(settled) // other nodes keep the accounts
+		}
+		for tenant := range s.tenants {
+			s.refused[tenant], s.beyond[tenant] = 0, 0
+		}
+		s.run(15 * time.Second)
+		for tenant, refused := range s.refused {
+			assert.Check(t, refused <= s.beyond[tenant], "%s: tenant %d: %d refused, %d beyond the allotment", step, tenant, refused, s.beyond[tenant])
+		}
 	}
 	tenant, part := s.worst()
 	assert.Check(t, part <= 1, "tenant %d: %.2f of the rule", tenant, part)
@@ -342,3 +352,20 @@
 	assert.Assert(t, admitted)
 	assert.Equal(t, len(a.wake), 1)
 }
+
+// The targets of a zone drain, then the zone is cut off while a tenant sends 7.5 times its usual everywhere. Guards against
+// nodes that use the part of draining ones, which still serve callers.
+func TestHotTenantBesideCutOfDrainingZone(t *testing.T) {
+	s := newSimulation(10, 24, 2, 3, 100)
+	s.burstOf(0, settled+2*time.Second)
+	s.run(settled)
+	for _, n := range s.nodes {
+		n.member.Draining = n.member.Zone == "z1"
+	}
+	s.configure()
+	s.run(time.Second)
+	s.cut("z1")
+	s.run(10 * time.Second)
+	tenant, part := s.worst()
+	assert.Check(t, part <= 1, "tenant %d: %.2f of the rule", tenant, part)
+}
--- a/internal/allotment/state.go
+++ b/internal/allotment/state.go
@@ -136,9 +136,7 @@
 	names := map[string]bool{s.name: true}
 	for _, member := range members {
 		s.addrs[memberName(member.ID)] = member.PeerAddr
-		if !member.Draining {
-			names[memberName(member.ID)] = true
-		}
+		names[memberName(member.ID)] = true // the node of a draining target still serves callers
 	}
 	s.size = len(names)
 	for tenant := range s.gates {
--- a/internal/membership/hierarchy.go
+++ b/internal/membership/hierarchy.go
@@ -10,18 +10,25 @@
 // best member of its region, and those exchange sums. It is the tree in which the tables are relayed. It is immutable.
 type Hierarchy struct {
 	self     string
-	draining bool // the other nodes don't rank this one
+	departed bool // the other nodes don't know this one
 	own      readerRanking
 	others   [][]cluster.Member // ranked members of each other region, by the name of the region
 }
 
-// NewHierarchy returns the tree of the members as self sees it.
+// NewHierarchy returns the tree of the members as self sees it. Unlike for the relay of the tables, a member whose target
+// drains keeps its rank: its node still serves callers, and each change of the best member loses sums.
 func NewHierarchy(members []cluster.Member, self cluster.Member) Hierarchy {
-	hierarchy := Hierarchy{self: self.ID, draining: self.Draining, own: rankReaders(members, self)}
+	members = slices.Clone(members)
+	listed := false
+	for i := range members {
+		members[i].Draining = false
+		listed = listed || members[i].ID == self.ID
+	}
+	hierarchy := Hierarchy{self: self.ID, departed: self.Draining && !listed, own: rankReaders(members, self)}
 	representatives := map[string]cluster.Member{}
 	var regions []string
 	for _, member := range members {
-		if _, known := representatives[member.Region]; known || member.Draining || member.Region == self.Region {
+		if _, known := representatives[member.Region]; known || member.Region == self.Region {
 			continue
 		}
 		representatives[member.Region] = member
@@ -36,9 +43,9 @@
 
 // Parent returns the best member that isn't avoided and ranks before this node. regional reports that this node is the best
 // one of its group, so that the parent must be one without a parent of its own. ok is false if this node is the best one. All
-// other members rank before a draining node, since none of them reports to it.
+// other members rank before a node whose target has departed, since none of them reports to it.
 func (h Hierarchy) Parent(avoided func(addr string) bool) (parent cluster.Member, regional, ok bool) {
-	chosen, ok := h.own.choose(h.self, h.draining, avoided)
+	chosen, ok := h.own.choose(h.self, h.departed, avoided)
 	return chosen.member, chosen.scope == scopeRegion, ok
 }
 
