Test the room for heads with several callers

It now waits until each connection is held up, and sends four heads. It fails if answers and heads share their limit.

--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -1,6 +1,8 @@
 package callerhttp
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -233,21 +235,34 @@
 	}
 	g.awaitStarted(t, connections)
 	server.awaitFullBuffers(t, connections)
-	conn, reader := dial(t, addr)
-	write(t, conn, "GET / HTTP/1.1\r\n")
-	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
-		conns, holdings := server.holdings()
-		if len(conns) <= connections || slices.ContainsFunc(holdings, func(h holding) bool { return h.bytes > 0 }) {
+	const ordinary = 4
+	var callers []net.Conn
+	var readers []*bufio.Reader
+	for range ordinary {
+		conn, reader := dial(t, addr)
+		write(t, conn, "GET / HTTP/1.1\r\n")
+		callers, readers = append(callers, conn), append(readers, reader)
+	}
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) { // until each has arrived or one is closed
+		_, holdings := server.holdings()
+		holds := slices.DeleteFunc(holdings, func(h holding) bool { return h.placed || h.bytes == 0 })
+		server.mu.Lock()
+		evicted := server.closures["memory"] != nil
+		server.mu.Unlock()
+		if len(holds) == ordinary || evicted {
 			break
 		}
 		assert.Assert(t, time.Now().Before(end))
 	}
-	write(t, conn, "Host: x\r\n\r\n")
-	status, _, _ := readAnswer(reader, http.MethodGet)
-	assert.Equal(t, status, http.StatusOK)
+	for i, conn := range callers {
+		_, _ = io.WriteString(conn, "Host: x\r\n\r\n") // fails if the connection is closed
+		status, _, _ := readAnswer(readers[i], http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+	}
 }
 
-// awaitFullBuffers waits until a handler waits on each of the first connections because no more of its answer may be buffered.
+// awaitFullBuffers waits until no more answers may be buffered: on each of the connections a handler waits, or a request that may
+// not be started early.
 func (s *Server) awaitFullBuffers(t *testing.T, connections int) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
@@ -255,13 +270,15 @@
 		conns, _ := s.holdings()
 		for _, c := range conns {
 			c.mu.Lock()
-			waiting += c.waiting
+			if c.waiting > 0 || c.heldBack != nil {
+				waiting++
+			}
 			c.mu.Unlock()
 		}
 		if waiting == connections {
 			return
 		}
-		assert.Assert(t, time.Now().Before(end), "%d handlers wait", waiting)
+		assert.Assert(t, time.Now().Before(end), "%d connections wait", waiting)
 	}
 }
 
