Notice that a caller leaves after a time limit

When the head behind a request in progress exceeded its time limit, the connection's reader ended. A caller that left afterwards was not noticed, and its requests ran on. The reader now drops the head and reads until the requests have ended.

TestCallerThatLeavesAfterATimeLimit failed before.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -145,6 +145,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, errExpired):
+			c.awaitEnd()
 			return nil
 		case c.end > c.start && errors.Is(err, io.EOF) && !c.inProgress():
 			return c.parse(0, framing.MalformedHeader)
@@ -325,6 +326,18 @@
 	return err
 }
 
+// awaitEnd drops an incomplete head and waits until the requests in progress have ended. It reads on in the meantime, so that it
+// notices when the caller leaves.
+func (c *conn) awaitEnd() {
+	c.start = c.end
+	c.releaseEmpty()
+	c.server.hold(c, 0)
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.awaitTurn(nil)
+}
+
 // mayStart reports whether e may be started beside the exchanges in progress. The caller holds mu.
 func (c *conn) mayStart(e *exchange) bool {
 	switch {
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -335,6 +335,44 @@
 	}
 }
 
+// Guards against work for a caller that has left after it exceeded the time limit of a head behind a request in progress.
+func TestCallerThatLeavesAfterATimeLimit(t *testing.T) {
+	limits := framing.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: testTimeout}
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := New(Config{
+		Limits: func() framing.Limits { return limits },
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			close(cancelled)
+		}),
+	})
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	conn, _ := dial(t, listener.Addr().String())
+	write(t, conn, get("/"))
+	<-started
+	write(t, conn, "GET / HT")
+	conns, _ := server.holdings()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		conns[0].mu.Lock()
+		closing := conns[0].closing
+		conns[0].mu.Unlock()
+		if closing {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "the time limit has not ended the connection")
+	}
+	_ = conn.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(testTimeout):
+		t.Fatal("the request was not cancelled")
+	}
+}
+
 // awaitHeldBack waits until a request waits for its turn.
 func (s *Server) awaitHeldBack(t *testing.T) {
 	t.Helper()
