Serve a request that arrived before the idle timeout but is read after it

A read whose deadline has passed fails although data is there. On a machine that froze, or got no processor time, while a caller reused its connection, the request was dropped unread and the connection reset.

The reader looks once more before it closes an idle connection. TestRequestThatArrivedBeforeTheIdleTimeout failed before.

--- a/internal/callerhttp/buffer.go
+++ b/internal/callerhttp/buffer.go
@@ -29,6 +29,18 @@
 	return nil
 }
 
+// readArrived reads what has arrived, without waiting, and reports whether there was anything. A read that waits fails after its
+// deadline although data is there, for example when the process did not run while it arrived.
+func (c *conn) readArrived() bool {
+	if c.raw == nil {
+		return false
+	}
+	c.makeRoom()
+	c.result.n = 0
+	err := c.raw.Control(func(fd uintptr) { c.readReady(fd) })
+	return err == nil && c.result.n > 0
+}
+
 // readReady reads from the descriptor without waiting. It returns false if there is nothing to read yet.
 func (c *conn) readReady(fd uintptr) bool {
 	c.acquire()
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -215,6 +215,9 @@
 		expired := !until.IsZero() && !time.Now().Before(until)
 		inHead := !c.headUntil.IsZero()
 		c.mu.Unlock()
+		if expired && !inHead && c.readArrived() {
+			return nil
+		}
 		if expired {
 			c.server.countTimeout(inHead)
 			return errExpired
--- a/internal/callerhttp/conn_test.go
+++ b/internal/callerhttp/conn_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -335,6 +336,34 @@
 	}
 }
 
+// Guards against a request that is dropped unread although it arrived before the idle timeout, because the process did not run then:
+// replays a machine that freezes while a request arrives.
+func TestRequestThatArrivedBeforeTheIdleTimeout(t *testing.T) {
+	server := New(Config{Limits: func() framing.Limits { return framing.Limits{} }})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	caller, _ := dial(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+	write(t, caller, get("/"))
+	c := newConn(server, accepted, time.Now())
+	assert.NilError(t, c.awaitData())
+	c.start = c.end
+	write(t, caller, get("/next"))
+	var peeked [1]byte
+	assert.NilError(t, c.raw.Read(func(fd uintptr) bool { // waits until the request has arrived
+		n, _, _ := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK)
+		return n > 0
+	}))
+	c.idleUntil = longPast
+	assert.NilError(t, c.awaitData())
+	assert.Equal(t, string(c.buffer[c.start:c.end]), get("/next"))
+	c.start = c.end
+	assert.ErrorIs(t, c.awaitData(), errExpired)
+}
+
 // Guards against work for a caller that has left after it exceeded the time limit of a head behind a request in progress.
 func TestCallerThatLeavesAfterATimeLimit(t *testing.T) {
 	limits := framing.Limits{HeaderTimeout: time.Millisecond, IdleTimeout: testTimeout}
