Send no request again unless the retry budget was charged for it

The break is now a failure of the attempt, which the entry node repeats within the retry budget and MaxAttempts. If a connection broke at each member, the call may return to one, so that a target that closes idle connections costs its callers nothing while the budget lasts. A request of which no byte was written is sent again by the target's node.

Requests that may run once and have no body are sent between nodes without chunks, as the caller sent them.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -176,7 +176,7 @@
 	if a.call.body.streamed() {
 		header.Set("Expect", "100-continue") // so that a refusal leaves the body unread, for another target
 	}
-	a.call.body.attach(request, a.call.idempotent)
+	a.call.body.attach(request)
 	return request
 }
 
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/acacialock/acacialock/internal/wire"
 )
 
 // maxReplayBytes is the size of the largest request body that is buffered for another send.
@@ -61,16 +63,16 @@
 func (b *requestBody) streamed() bool { return b.stream != nil }
 
 // attach sets the body of one send. The body's type hides the bytes from net/http, which otherwise resends a request on its
-// own when an idle connection closes. An idempotent request without a body may be resent that way.
-func (b *requestBody) attach(request *http.Request, idempotent bool) {
+// own when an idle connection closes.
+func (b *requestBody) attach(request *http.Request) {
 	request.ContentLength = b.length
 	switch {
 	case b.stream != nil:
 		reader := &streamReader{body: b}
 		b.current.Store(reader)
 		request.Body = reader
-	case b.length == 0 && idempotent:
-		request.Body = http.NoBody
+	case b.length == 0:
+		wire.PreventResend(request)
 	default:
 		request.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(b.buffered)})
 	}
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -22,7 +22,7 @@
 		assert.NilError(t, err)
 		for range rapid.IntRange(1, 3).Draw(t, "refused sends") {
 			send := &http.Request{}
-			body.attach(send, false)
+			body.attach(send)
 			part := rapid.IntRange(0, maxReplayBytes).Draw(t, "bytes read")
 			_, err := io.CopyN(io.Discard, send.Body, int64(part))
 			assert.Assert(t, err == nil || part > len(content))
@@ -32,7 +32,7 @@
 			}
 		}
 		last := &http.Request{}
-		body.attach(last, false)
+		body.attach(last)
 		got, err := io.ReadAll(last.Body)
 		assert.NilError(t, err)
 		assert.Assert(t, bytes.Equal(got, content), "the last send got %d of %d bytes", len(got), len(content))
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -44,6 +44,7 @@
 	reached      int          // sends that may have reached a target
 	tried        []string     // ids of the members that an attempt was sent to
 	movedFrom    []string     // ids of the members that refused because their target is slow or failing, one per move
+	brokenAt     []string     // ids of the members where a connection broke before an answer, one per retry
 	pinned       bool         // the next node must not refuse the call because its target is slow or failing
 	overflows    int          // members of other regions that the call was sent to after its own region refused it
 	localRefusal *result      // refusal by the own region before the first overflow; nil: none
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -73,7 +73,7 @@
 		request.Header.Set(wire.TenantName, c.tenant.Name)
 	}
 	request.Header.Set(wire.TimeoutMS, strconv.FormatInt(max(c.remaining().Milliseconds(), 1), 10))
-	c.body.attach(request, c.idempotent)
+	c.body.attach(request)
 	return request
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -127,15 +127,17 @@
 	return nil
 }
 
-// launchRetry is launch after a failed attempt. When only members that the call moved away from are left, it returns to
-// one of them, which then must not refuse the call because its target is slow or failing.
+// launchRetry is launch after a failed attempt. When only members are left that the call moved away from, or whose connection
+// broke, it returns to one of them, which then must not refuse the call because its target is slow or failing.
 func (h *Handler) launchRetry(ctx context.Context, c *call, policy *Policy, results chan<- result) *failure.Error {
 	failed := h.launch(ctx, c, policy, results)
-	if failed == nil || len(c.movedFrom) == 0 {
+	if failed == nil || len(c.movedFrom)+len(c.brokenAt) == 0 {
 		return failed
 	}
 	c.pinned = true
-	c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return slices.Contains(c.movedFrom, id) })
+	c.tried = slices.DeleteFunc(c.tried, func(id string) bool {
+		return slices.Contains(c.movedFrom, id) || slices.Contains(c.brokenAt, id)
+	})
 	return h.launch(ctx, c, policy, results)
 }
 
@@ -187,6 +189,9 @@
 		h.config.Metrics.Counter("retry.denied." + string(c.retryDenial)).Inc(1)
 		return false
 	}
+	if failed.Reason == failure.TargetConnectionBroke || failed.Reason == failure.ConnectionLost {
+		c.brokenAt = append(c.brokenAt, res.memberID)
+	}
 	c.retried = true
 	h.config.Metrics.CountRetry(failed.Reason)
 	return true
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -223,9 +223,3 @@
 	}
 	_ = b.control.SetReadDeadline(time.Unix(1, 0))
 }
-
-// emptyBody is an empty body of a type unknown to net/http, which therefore treats the request as not replayable.
-type emptyBody struct{}
-
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -38,6 +38,7 @@
 	informational     int  // informational responses received
 	conn              *quarantine.Conn
 	writtenBefore     int64 // bytes written to conn before this request got it
+	connReused        bool  // conn served another request before
 	sentOnEarlierConn bool  // bytes of the request were written to an earlier connection
 }
 
@@ -199,6 +200,9 @@
 		transport.CloseIdleConnections() // the close of an old connection would count as a crash
 	}
 	response, err := transport.RoundTrip(request)
+	for err != nil && e.nothingWritten(ctx) && e.r.ContentLength == 0 {
+		response, err = transport.RoundTrip(request) // the connection that failed is not in the pool any more
+	}
 	if err != nil {
 		failed := e.failBeforeResponse(ctx, err)
 		e.handler.recordFailure(failed)
@@ -283,7 +287,7 @@
 	return nil
 }
 
-// targetRequest returns the request to the target, built so that net/http never resends a non-idempotent request.
+// targetRequest returns the request to the target, built so that net/http sends it once.
 func (e *exchange) targetRequest(ctx context.Context) *http.Request {
 	url := *e.forwarded.url
 	url.Scheme = "http"
@@ -298,10 +302,7 @@
 		Body:          e.body,
 	}
 	if e.r.ContentLength == 0 {
-		request.Body = http.NoBody
-		if !e.forwarded.call.Idempotent {
-			preventReplay(request)
-		}
+		wire.PreventResend(request)
 	}
 	if e.handler.config.Protocol != nil {
 		e.handler.config.Protocol.PrepareHeader(request.Header, time.Until(e.forwarded.deadline))
@@ -309,31 +310,20 @@
 	return request.WithContext(ctx)
 }
 
-// preventReplay changes a request without a body so that net/http does not resend it. Only methods that usually have no
-// body get an emptyBody: with others, net/http would send a body of unknown length with chunked encoding.
-func preventReplay(request *http.Request) {
-	switch request.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		request.Body = emptyBody{}
-	default:
-		lowercaseKeyHeaders(request.Header)
-	}
-}
-
 // clientTrace returns the hooks that track the request's connection and forward informational responses.
 func (e *exchange) clientTrace() *httptrace.ClientTrace {
 	tracked := e.tracked
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			tracked.MarkSent()
-			e.gotConn(info.Conn.(*quarantine.Conn))
+			e.gotConn(info.Conn.(*quarantine.Conn), info.Reused)
 		},
 		Got1xxResponse: e.writeInformational,
 	}
 }
 
 // gotConn records the connection that the transport chose. It is called again if the transport retries.
-func (e *exchange) gotConn(conn *quarantine.Conn) {
+func (e *exchange) gotConn(conn *quarantine.Conn, reused bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sentOnEarlierConn = e.wroteBytes()
@@ -341,7 +331,7 @@
 		e.handler.limiter.CountUnplannedSend()
 	}
 	e.handler.countSent(e.sentOnEarlierConn || e.forwarded.sends > 1)
-	e.conn = conn
+	e.conn, e.connReused = conn, reused
 	conn.OnTargetClose(e.onTargetClosed)
 	e.writtenBefore = conn.BytesWritten()
 }
@@ -357,6 +347,14 @@
 	}
 }
 
+// nothingWritten reports whether the request got a connection that the target closed before any byte of the request was written,
+// so that another send is the first that the target can see. A new connection fails in this way only if the target refuses it.
+func (e *exchange) nothingWritten(ctx context.Context) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ctx.Err() == nil && e.conn != nil && e.connReused && !e.wroteBytes()
+}
+
 // wroteBytes reports whether any byte of the request was written to any connection. The mutex is held.
 func (e *exchange) wroteBytes() bool {
 	return e.sentOnEarlierConn || e.conn != nil && e.conn.BytesWritten() > e.writtenBefore
--- a/internal/inbound/headers.go
+++ b/internal/inbound/headers.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/wire"
@@ -37,17 +36,6 @@
 	return header
 }
 
-// lowercaseKeyHeaders changes the case of the idempotency key headers, with which net/http would resend a request
-// without a body. Header names are case-insensitive for the target.
-func lowercaseKeyHeaders(header http.Header) {
-	for _, name := range [...]string{wire.IdempotencyKey, "X-Idempotency-Key"} {
-		if values, ok := header[name]; ok {
-			delete(header, name)
-			header[strings.ToLower(name)] = values
-		}
-	}
-}
-
 // addHeader appends the fields of src to dst.
 func addHeader(dst, src http.Header) {
 	for name, values := range src {
--- a/internal/inbound/stream_test.go
+++ b/internal/inbound/stream_test.go
@@ -154,9 +154,9 @@
 	assert.Equal(t, node.LoadSample().InFlight, 0)
 }
 
-// Guards against net/http resending a non-idempotent request by itself when the target closes a connection, with and
-// without a body, and with an Idempotency-Key, with which it resends a plain request.
-func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+// Guards against net/http resending a request by itself when the target closes a connection, with and without a body, with a
+// method that may be repeated, and with an Idempotency-Key, with which it resends a plain request.
+func TestRequestIsSentOnce(t *testing.T) {
 	var count atomic.Int64
 	addr := startTarget(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/once" {
@@ -171,6 +171,11 @@
 		{method: "GET", path: "/once", key: "b"},
 		{method: "DELETE", path: "/once", key: "c"},
 		{method: "POST", path: "/once", header: http.Header{"X-Idempotency-Key": {"d"}}},
+		{method: "POST", path: "/once", key: "e", idempotent: true},
+		{method: "GET", path: "/once", idempotent: true},
+		{method: "HEAD", path: "/once", idempotent: true},
+		{method: "OPTIONS", path: "/once", idempotent: true},
+		{method: "TRACE", path: "/once", idempotent: true},
 	} {
 		// Each call has its own node, since a node whose target failed half of its requests refuses further ones.
 		node := startNode(t, addr, func(c *Config) { c.KeyGate = &fakeKeyGate{} })
