Check configurations in both forms before they are sent

Operators could check only service lists in TOML, and learned of the first fault of a list of resources from the nodes' logs.

The decoder of the platform's form collects all faults; nodes still reject a state as a whole. internal/listcheck finds entries without effect, contradictions and differences between two typed lists, for both forms. Problems in arrays of tables name the element and its line. check exits with 1 for a valid configuration with findings; 2 stays for an invalid one.

--- a/cmd/acacialock/main.go
+++ b/cmd/acacialock/main.go
@@ -15,7 +15,7 @@
 // openRowStore returns the row store of the users' platform at addr, through the same adapter that the nodes use.
 func openRowStore(addr string) operator.RowStore {
 	adapter := platform.New(&settings.Settings{PlatformAddr: addr})
-	return operator.RowStore{Feed: adapter.Store(), List: adapter.List()}
+	return operator.RowStore{Feed: adapter.Store(), List: adapter.List(), ReadConfiguration: platform.ReadConfiguration}
 }
 
 func main() {
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -19,7 +21,7 @@
 
 // arguments holds the parsed command line of acacialock.
 type arguments struct {
-	Check   *fileArguments    `arg:"subcommand:check" help:"check a service list file; needs no platform"`
+	Check   *checkArguments   `arg:"subcommand:check" help:"check a configuration; with --platform compare it with the version in force"`
 	Apply   *applyArguments   `arg:"subcommand:apply" help:"get a service list file accepted and wait until it is in force"`
 	Get     *getArguments     `arg:"subcommand:get" help:"print the accepted service list"`
 	Diff    *fileArguments    `arg:"subcommand:diff" help:"show what a file would change in the accepted service list"`
@@ -32,6 +34,9 @@
 	Output   outputFormat  `arg:"--output" default:"text" help:"text or json"`
 	Timeout  time.Duration `arg:"--timeout" default:"15s" help:"longest time for one operation at the store"`
 	Operator string        `arg:"--operator,env:USER" help:"name recorded with an accepted list"`
+
+	// PlatformGiven reports that the command line names the platform. The environment variable doesn't make check need one.
+	PlatformGiven bool `arg:"-"`
 }
 
 type fileArguments struct {
@@ -67,7 +72,7 @@
 func (arguments) Epilogue() string {
 	return `Exit codes:
   0  done
-  1  failed
+  1  failed; for check: the configuration is valid and has findings
   2  wrong usage, or the file is not a valid service list
   3  conflict: the service list changed since the version last seen; nothing was changed
   4  accepted, but not yet known to be in force everywhere
@@ -88,7 +93,8 @@
 }
 
 // Main runs the command acacialock with args, which exclude the program's name, and returns the exit code. openRowStore
-// returns the row store at an address; it is called only for status --rows.
+// returns the row store at an address; it is called only for status --rows, and for check of a configuration in the form of
+// that platform, where the address may be empty.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer, openRowStore func(addr string) RowStore) int {
 	if len(args) == 1 && args[0] == "--version" {
 		// go-arg's built-in --version flag would hide the --version option of get, so it is handled here.
@@ -114,6 +120,10 @@
 		fmt.Fprintln(stderr, "error:", err)
 		return ExitBadInput
 	}
+	parsed.PlatformGiven = slices.ContainsFunc(args, func(arg string) bool { return arg == "--platform" || strings.HasPrefix(arg, "--platform=") })
+	if parsed.Check != nil && parsed.Check.JSON {
+		parsed.Output = formatJSON
+	}
 	out := &printer{format: parsed.Output, stdout: stdout, stderr: stderr}
 	err = run(ctx, &parsed, out, openRowStore)
 	if err != nil {
@@ -127,8 +137,8 @@
 	if args.Explain != nil {
 		return explain(args.Explain, os.Stdin, out)
 	}
-	if args.Check != nil {
-		return check(args.Check.File, out)
+	if args.Check != nil && !args.PlatformGiven {
+		return check(ctx, args, out, openRowStore)
 	}
 	if _, err := netip.ParseAddrPort(args.Platform); err != nil {
 		return &UsageError{Detail: fmt.Sprintf("platform %q is not an address: give IP:port with --platform or ACACIALOCK_PLATFORM", args.Platform)}
@@ -136,6 +146,9 @@
 	if err := args.requireNonNegative(); err != nil {
 		return err
 	}
+	if args.Check != nil {
+		return check(ctx, args, out, openRowStore)
+	}
 	if args.Status != nil && args.Status.Rows {
 		return rowStoreStatus(ctx, openRowStore(args.Platform), args, out)
 	}
@@ -193,14 +206,6 @@
 	return servicelist.Parse(text)
 }
 
-func check(file string, out *printer) error {
-	list, err := readListFile(file)
-	if err != nil {
-		return err
-	}
-	return out.printResult(checkResult{File: file, Services: len(list.Services)})
-}
-
 // apply implements the subcommand apply: it stores the list and waits until it is in force in all zones.
 func apply(ctx context.Context, operator *Operator, args *applyArguments, out *printer) error {
 	list, err := readListFile(args.File)
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -14,6 +14,7 @@
 const (
 	ExitOK          = 0
 	ExitFailed      = 1
+	ExitFindings    = 1 // check: the configuration is valid and has findings
 	ExitBadInput    = 2
 	ExitConflict    = 3
 	ExitNotInForce  = 4
@@ -115,9 +116,14 @@
 
 // kindOf returns the class of err; errors without a class of their own exit with ExitFailed.
 func kindOf(err error) errorKind {
+	var checked *CheckError
 	switch {
 	case err == nil:
 		return errorKind{ExitOK, "ok"}
+	case errors.As(err, &checked) && checked.Invalid:
+		return errorKind{ExitBadInput, "bad-list"}
+	case checked != nil && checked.Cause == nil:
+		return errorKind{ExitFindings, "findings"}
 	case isErrorType[*UsageError](err):
 		return errorKind{ExitBadInput, "usage"}
 	case isErrorType[*servicelist.Error](err):
--- a/internal/operator/nodes.go
+++ b/internal/operator/nodes.go
@@ -14,8 +14,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acacialock/acacialock/internal/cluster"
+	"github.com/acacialock/acacialock/internal/listcheck"
 	"github.com/acacialock/acacialock/internal/membership"
 	"github.com/acacialock/acacialock/internal/platform"
+	"github.com/acacialock/acacialock/internal/settings"
 	"github.com/acacialock/acacialock/internal/wire"
 )
 
@@ -23,6 +25,9 @@
 type RowStore struct {
 	Feed platform.Feed
 	List membership.ListSource
+	// ReadConfiguration reads a configuration in the platform's form as a node with these settings does; nil settings: without
+	// what they say.
+	ReadConfiguration func(text []byte, set *settings.Settings) listcheck.Configuration
 }
 
 const (
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -56,6 +56,9 @@
 // printFailure prints an error and, for a conflict in text format, the diff between the accepted list and the file.
 func (p *printer) printFailure(err error) {
 	fmt.Fprintln(p.stderr, "error:", err)
+	if isErrorType[*CheckError](err) {
+		return // the result has been printed, with the error in JSON
+	}
 	var conflict *ConflictError
 	var pending *NotInForceError
 	var invalid *servicelist.Error
@@ -85,15 +88,6 @@
 // formatTime formats Unix seconds as RFC 3339 in UTC.
 func formatTime(unix int64) string { return time.Unix(unix, 0).UTC().Format(time.RFC3339) }
 
-type checkResult struct {
-	File     string `json:"file"`
-	Services int    `json:"services"`
-}
-
-func (r checkResult) text() string {
-	return fmt.Sprintf("%s: valid, %d services\n", r.File, r.Services)
-}
-
 type applyResult struct {
 	Version   uint64      `json:"version"`
 	Unchanged bool        `json:"unchanged"`
--- a/internal/servicelist/parsetenants.go
+++ b/internal/servicelist/parsetenants.go
@@ -8,9 +8,9 @@
 
 // parseTenants converts and validates the tenants of a list; problems are added to the document. No problem contains a key.
 func parseTenants(document *tomlcheck.Document, texts []tenantText) TenantSet {
-	table := tomlcheck.Key{"tenants"}
 	var tenants TenantSetBuilder
-	for _, text := range texts {
+	for i, text := range texts {
+		table := tomlcheck.Key{"tenants", tomlcheck.Element(i)}
 		tenant := &Tenant{
 			Name: text.Name, Priority: valueOr(text.Priority, 0), InheritPriority: text.Priority == nil, Rate: text.Rate, Burst: text.Burst,
 			AllowedRegions: parseRegions(document, childKey(table, "allowed_regions"), text.AllowedRegions),
@@ -25,14 +25,14 @@
 		if !(tenant.Burst >= 0 && tenant.Burst <= MaxBurst) {
 			document.Add(tomlcheck.OutOfRange, childKey(table, "burst"), "burst %v of tenant %q is out of range: must be 0 to %v", tenant.Burst, tenant.Name, float64(MaxBurst))
 		}
-		parseKeys(document, &tenants, tenant, text)
+		parseKeys(document, &tenants, tenant, table, text)
 	}
 	return tenants.Set()
 }
 
 // parseKeys adds the keys and key digests of a tenant to the set.
-func parseKeys(document *tomlcheck.Document, tenants *TenantSetBuilder, tenant *Tenant, text tenantText) {
-	keys, digests := tomlcheck.Key{"tenants", "keys"}, tomlcheck.Key{"tenants", "key_digests"}
+func parseKeys(document *tomlcheck.Document, tenants *TenantSetBuilder, tenant *Tenant, table tomlcheck.Key, text tenantText) {
+	keys, digests := childKey(table, "keys"), childKey(table, "key_digests")
 	for i, key := range text.Keys {
 		if err := tenants.AddKey(tenant, key); err != nil {
 			document.Add(tomlcheck.BadName, keys, "key %d of tenant %q: %v", i+1, tenant.Name, err)
--- a/internal/servicelist/rules.go
+++ b/internal/servicelist/rules.go
@@ -41,6 +41,8 @@
 	// AllowedRegions are the regions whose nodes may receive a request and its body, besides the node that the caller
 	// connected to. Empty: all regions.
 	AllowedRegions []string
+	// Position is the rule's position among the entries of the configuration as written, counted from 0.
+	Position int
 
 	requests atomic.Uint64 // requests that the split distributed so far
 }
@@ -63,6 +65,7 @@
 type RuleSet struct {
 	byHost map[string]map[string]*Rule // by host and prefix
 	size   int
+	hidden []*Rule // rules replaced by a later one with the same host and prefix
 }
 
 // NewRuleSet returns an index of the rules. Of several rules with the same host and prefix, the last one is used.
@@ -74,7 +77,9 @@
 			prefixes = map[string]*Rule{}
 			set.byHost[rule.Host] = prefixes
 		}
-		if prefixes[rule.Prefix] == nil {
+		if replaced := prefixes[rule.Prefix]; replaced != nil {
+			set.hidden = append(set.hidden, replaced)
+		} else {
 			set.size++
 		}
 		prefixes[rule.Prefix] = rule
@@ -85,6 +90,20 @@
 // Len returns the number of rules.
 func (s *RuleSet) Len() int { return s.size }
 
+// All calls yield for each rule of the index until it returns false, in no particular order.
+func (s *RuleSet) All(yield func(*Rule) bool) {
+	for _, prefixes := range s.byHost {
+		for _, rule := range prefixes {
+			if !yield(rule) {
+				return
+			}
+		}
+	}
+}
+
+// Hidden returns the rules that no request matches because a later rule has the same host and prefix.
+func (s *RuleSet) Hidden() []*Rule { return s.hidden }
+
 // Match returns the host's rule with the longest prefix of path, or nil if there is none. The time is proportional to the
 // number of path segments and independent of the number of rules.
 func (s *RuleSet) Match(host, path string) *Rule {
@@ -133,12 +152,13 @@
 
 // parseRules converts and validates the rules of a list; problems are added to the document.
 func parseRules(document *tomlcheck.Document, list *List, texts []ruleText) RuleSet {
-	key := tomlcheck.Key{"rules"}
 	var parsed []*Rule
 	seen := map[[2]string]bool{}
-	for _, text := range texts {
+	for i, text := range texts {
+		key := tomlcheck.Key{"rules", tomlcheck.Element(i)}
 		rule := &Rule{
-			Name: text.Name, Host: strings.ToLower(text.Host), Prefix: text.Prefix, Idempotent: text.Idempotent,
+			Position: i,
+			Name:     text.Name, Host: strings.ToLower(text.Host), Prefix: text.Prefix, Idempotent: text.Idempotent,
 			Timeout:       document.ParseDuration(childKey(key, "timeout"), text.Timeout, DefaultTimeout, MinTimeout, MaxTimeout),
 			TargetLatency: document.ParseDuration(childKey(key, "target_latency"), text.TargetLatency, 0, MinTimeout, MaxTimeout),
 			Priority:      text.Priority,
@@ -159,17 +179,18 @@
 		}
 		document.CheckRange(childKey(key, "priority"), rule.Priority, 0, MaxPriority)
 		document.CheckRange(childKey(key, "max_attempts"), rule.MaxAttempts, 1, MaxMaxAttempts)
-		rule.Split = parseSplit(document, list, rule.Name, text.Split)
+		rule.Split = parseSplit(document, list, key, rule.Name, text.Split)
 		parsed = append(parsed, rule)
 	}
 	return NewRuleSet(parsed)
 }
 
-func parseSplit(document *tomlcheck.Document, list *List, name string, texts []shareText) []Share {
-	key := tomlcheck.Key{"rules", "split"}
+func parseSplit(document *tomlcheck.Document, list *List, rule tomlcheck.Key, name string, texts []shareText) []Share {
+	split := childKey(rule, "split")
 	var shares []Share
 	total := 0
-	for _, text := range texts {
+	for i, text := range texts {
+		key := childKey(split, tomlcheck.Element(i))
 		document.CheckRange(childKey(key, "weight"), text.Weight, 0, MaxWeight)
 		if list.Services[text.Service] == nil {
 			document.Add(tomlcheck.UnknownDependency, key, "service %q of rule %q is not in the list", text.Service, name)
@@ -178,7 +199,7 @@
 		shares = append(shares, Share(text))
 	}
 	if total <= 0 {
-		document.Add(tomlcheck.Missing, key, "rule %q has no service with a weight above 0", name)
+		document.Add(tomlcheck.Missing, split, "rule %q has no service with a weight above 0", name)
 	}
 	return shares
 }
--- a/internal/servicelist/tenants.go
+++ b/internal/servicelist/tenants.go
@@ -29,8 +29,9 @@
 
 // TenantSet is an index of tenants by API key. The zero value is empty.
 type TenantSet struct {
-	byKey  map[KeyDigest]*Tenant
-	byName map[string]*Tenant
+	byKey    map[KeyDigest]*Tenant
+	byName   map[string]*Tenant
+	repeated []*Tenant
 }
 
 // NewTenantSet returns an index of the tenants by the digests of their keys.
@@ -60,10 +61,23 @@
 	}
 }
 
+// AllKeys calls yield for the digest of each API key and its tenant until it returns false, in no particular order.
+func (s *TenantSet) AllKeys(yield func(KeyDigest, *Tenant) bool) {
+	for digest, tenant := range s.byKey {
+		if !yield(digest, tenant) {
+			return
+		}
+	}
+}
+
+// Repeated returns the tenants that list an API key more than once, one element for each repetition.
+func (s *TenantSet) Repeated() []*Tenant { return s.repeated }
+
 // TenantSetBuilder collects tenants and their keys for a TenantSet. The zero value is empty. Its errors contain no key.
 type TenantSetBuilder struct {
-	byKey  map[KeyDigest]*Tenant
-	byName map[string]*Tenant
+	byKey    map[KeyDigest]*Tenant
+	byName   map[string]*Tenant
+	repeated []*Tenant
 }
 
 // Add adds a tenant. It fails if the name is not a token or is taken.
@@ -94,7 +108,10 @@
 
 // AddDigest adds the digest of an API key of a tenant. It fails if the key is held by another tenant.
 func (b *TenantSetBuilder) AddDigest(tenant *Tenant, digest KeyDigest) error {
-	if holder := b.byKey[digest]; holder != nil && holder != tenant {
+	switch holder := b.byKey[digest]; {
+	case holder == tenant:
+		b.repeated = append(b.repeated, tenant)
+	case holder != nil:
 		return fmt.Errorf("the key is also held by tenant %q", holder.Name)
 	}
 	if b.byKey == nil {
--- a/internal/tomlcheck/index.go
+++ b/internal/tomlcheck/index.go
@@ -11,14 +11,16 @@
 // with upper-case letters, because the decoder matches it with the key in lower case.
 func (d *Document) indexKeys(text []byte) {
 	d.lines = map[string]int{}
-	index := indexer{document: d, line: 1}
+	index := indexer{document: d, line: 1, elements: map[string]int{}}
 	index.parser.Reset(text)
 	var table Key
 	for index.parser.NextExpression() {
 		node := index.parser.Expression()
 		switch node.Kind {
-		case unstable.Table, unstable.ArrayTable:
+		case unstable.Table:
 			table = index.addKey(nil, node)
+		case unstable.ArrayTable:
+			table = index.addElement(index.addKey(nil, node))
 		case unstable.KeyValue:
 			index.addKeyValue(table, node)
 		}
@@ -36,6 +38,20 @@
 	// offset is the last offset that was looked up and line is its line. The parser's own lookup scans from the first byte
 	// each time, which took 35 s for 30,000 tables.
 	offset, line int
+	// elements counts the elements of each array of tables, by Key.lineKey.
+	elements map[string]int
+}
+
+// addElement records the line of the next element of an array of tables, which is the line last looked up, and returns the
+// element's key.
+func (x *indexer) addElement(array Key) Key {
+	position := x.elements[array.lineKey()]
+	x.elements[array.lineKey()]++
+	element := append(array[:len(array):len(array)], Element(position))
+	if len(element) <= maxKeyParts {
+		x.document.lines[element.lineKey()] = x.line
+	}
+	return element
 }
 
 // lineOf returns the 1-based line of an offset. Offsets must be looked up in ascending order.
@@ -59,11 +75,11 @@
 		return
 	}
 	children := node.Children()
-	for children.Next() {
+	for position := 0; children.Next(); position++ {
 		if child := children.Node(); child.Kind == unstable.KeyValue {
 			x.addKeyValue(key, child)
-		} else {
-			x.addValue(key, child)
+		} else if len(key) < maxKeyParts {
+			x.addValue(append(key[:len(key):len(key)], Element(position)), child)
 		}
 	}
 }
@@ -76,6 +92,9 @@
 	parts := node.Key()
 	for parts.Next() {
 		part := parts.Node()
+		if count := x.elements[key.lineKey()]; count > 0 && len(key) > 0 && len(key) <= maxKeyParts {
+			key = append(key, Element(count-1)) // a table below the last element of an array of tables
+		}
 		if line == 0 {
 			line = x.lineOf(part.Raw.Offset)
 		}
@@ -84,8 +103,10 @@
 	if len(key) > maxKeyParts {
 		return key
 	}
-	if _, ok := x.document.lines[key.lineKey()]; !ok {
-		x.document.lines[key.lineKey()] = line
+	for _, recorded := range []Key{table, key} { // an inline table has the line of its first key
+		if _, ok := x.document.lines[recorded.lineKey()]; !ok && len(recorded) > 0 {
+			x.document.lines[recorded.lineKey()] = line
+		}
 	}
 	if last := key[len(key)-1]; last != strings.ToLower(last) {
 		problem := Problem{Line: line, Key: key.String(), Kind: UnknownKey, Message: "keys must be in lower case"}
--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -51,11 +52,14 @@
 	return text.String()
 }
 
-// Key is the path of a key in a text, from the outermost table.
+// Key is the path of a key in a text, from the outermost table. Elements of arrays are parts made by Element.
 type Key []string
 
-// String joins the parts with dots.
-func (k Key) String() string { return strings.Join(k, ".") }
+// Element returns the part of a key for the element of an array with this position, counted from 0.
+func Element(position int) string { return "[" + strconv.Itoa(position) + "]" }
+
+// String joins the parts with dots, as in "rules[1].timeout".
+func (k Key) String() string { return strings.ReplaceAll(strings.Join(k, "."), ".[", "[") }
 
 // lineKey returns the map key for Document.lines. It is joined with NUL because parts may contain dots but no NUL.
 func (k Key) lineKey() string { return strings.Join(k, "\x00") }
@@ -93,12 +97,20 @@
 	return document
 }
 
+// Index returns a document that knows the lines of the keys of a text that could be decoded, and holds no problems.
+func Index(text []byte) *Document {
+	document := &Document{decoded: true}
+	document.indexKeys(text)
+	document.problems = nil
+	return document
+}
+
 // Decoded reports whether the text could be decoded, so that the values of the target can be validated.
 func (d *Document) Decoded() bool { return d.decoded }
 
 // Add records a problem with a key, at the line of the key or else of its closest parent in the text.
 func (d *Document) Add(kind Kind, key Key, format string, args ...any) {
-	d.problems = append(d.problems, Problem{Line: d.lineOf(key), Key: key.String(), Kind: kind, Message: fmt.Sprintf(format, args...)})
+	d.problems = append(d.problems, Problem{Line: d.LineOf(key), Key: key.String(), Kind: kind, Message: fmt.Sprintf(format, args...)})
 }
 
 // Problems returns all problems sorted by line; those without a line come last.
@@ -122,8 +134,8 @@
 	d.problems = append(d.problems, Problem{Line: line, Key: Key(failed.Key()).String(), Kind: kind, Message: message})
 }
 
-// lineOf returns the line of a key or else of its closest parent in the text, or 0.
-func (d *Document) lineOf(key Key) int {
+// LineOf returns the line of a key or else of its closest parent in the text, or 0.
+func (d *Document) LineOf(key Key) int {
 	for length := len(key); length > 0; length-- {
 		if line, ok := d.lines[key[:length].lineKey()]; ok {
 			return line
