End answers that have begun at the deadline of their call

The end of the call now closes the answer that is copied. The caller's connection is closed, so that it can't look complete, and the request at the target is cancelled. answer.late.node and answer.late.caller, and waited_for in the log line, tell a silent node from a caller that does not read.

The header goes to the caller with the first part of the body. If only the head has arrived, the caller gets a typed failure, where its connection was closed without an answer.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -156,7 +156,7 @@
 	defer context.AfterFunc(h.stopped, cancel)()
 	final := h.dispatch(ctx, c, mayRelay)
 	h.returnAllotment(c, final.failed)
-	h.respond(w, c, final)
+	h.respond(ctx, w, c, final)
 }
 
 // precedesKey reports whether a call is refused for this reason although an earlier call with the same Idempotency-Key may
@@ -184,24 +184,28 @@
 	}
 }
 
-// respond sends the call's result to the caller and logs it.
-func (h *Handler) respond(w http.ResponseWriter, c *call, final result) {
+// respond sends the call's result to the caller and logs it. The end of ctx also ends an answer that has begun.
+func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, c *call, final result) {
 	switch {
 	case final.failed != nil:
-		if err := c.body.readError(); err != nil && c.request.Context().Err() == nil {
-			final.failed = failure.Wrap(err, failure.BadRequest, final.failed.Outcome, "the request body can't be read")
-			w.Header().Set("Connection", "close") // the start of the next request on the connection is unknown
-		}
-		h.logFailure(c, final.failed)
-		h.refuse(w, final.failed)
+		h.respondFailure(w, c, final.failed)
 	case final.stored != nil:
 		writeStoredAnswer(w, final.stored)
 	default:
-		stop := context.AfterFunc(c.request.Context(), func() { _ = final.response.Body.Close() })
-		defer stop()
-		h.logAnswer(c, final)
-		h.stream(w, c, final)
+		if failed := h.stream(ctx, w, c, final); failed != nil {
+			h.respondFailure(w, c, failed)
+		}
+	}
+}
+
+// respondFailure refuses the call and logs why.
+func (h *Handler) respondFailure(w http.ResponseWriter, c *call, failed *failure.Error) {
+	if err := c.body.readError(); err != nil && c.request.Context().Err() == nil {
+		failed = failure.Wrap(err, failure.BadRequest, failed.Outcome, "the request body can't be read")
+		w.Header().Set("Connection", "close") // the start of the next request on the connection is unknown
 	}
+	h.logFailure(c, failed)
+	h.refuse(w, failed)
 }
 
 // reportResult reports an attempt's result to the balancer, the latency tracker and the metrics, logs a failure, and
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -33,11 +33,11 @@
 	return fields
 }
 
-// logAbort logs that the caller's connection is closed because the rest of an answer did not arrive, or because the caller
-// left or does not read.
-func (h *Handler) logAbort(c *call, final result, copied int64, err error) {
+// logAbort logs that the caller's connection is closed because the rest of an answer did not arrive by the deadline, or because
+// the caller left or does not read.
+func (h *Handler) logAbort(c *call, final result, copying *answerCopy, err error) {
 	klog.InfoS("answer broke off", "request", c.request.Header.Get(h.config.RequestIDHeader), "service", c.service.Name,
-		"member", final.memberID, "status", final.response.StatusCode, "length", final.response.ContentLength, "copied", copied,
+		"member", final.memberID, "status", final.response.StatusCode, "length", final.response.ContentLength, "copied", copying.copied, "waited_for", copying.waitedFor(),
 		"caller_left", c.request.Context().Err() != nil, "err", err.Error(), "left", c.remaining().Round(time.Millisecond))
 }
 
--- a/internal/entry/respond.go
+++ b/internal/entry/respond.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -24,11 +25,22 @@
 	wire.TenantName,
 }
 
-// stream copies a node's response to the caller. When the response is truncated it aborts the caller's connection, so
-// that the caller can't take it for complete.
-func (h *Handler) stream(w http.ResponseWriter, c *call, final result) {
+// stream copies a node's response to the caller until ctx ends. When the response is truncated it aborts the caller's
+// connection, so that the caller can't take it for complete. It returns a failure, and has sent nothing, if no byte of the body
+// arrived.
+func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, c *call, final result) *failure.Error {
 	response := final.response
 	defer response.Body.Close()
+	copying := &answerCopy{w: w, response: response}
+	defer context.AfterFunc(ctx, copying.end)()
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	n, err := response.Body.Read(buffer[:])
+	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+		h.config.Metrics.Counter("answer.incomplete").Inc(1)
+		return noBodyFailure(ctx, c, final, err)
+	}
+	h.logAnswer(c, final)
 	copyHeader(w.Header(), response.Header)
 	c.body.beginAnswer(w)
 	defer c.body.finishAnswer(w, c.request)
@@ -36,14 +48,32 @@
 		w.Header().Add("Trailer", name)
 	}
 	w.WriteHeader(response.StatusCode)
-	if copied, err := copyBody(w, response); err != nil {
+	if err := copying.run(buffer[:], n, err); err != nil {
 		h.config.Metrics.Counter("answer.aborted").Inc(1)
-		h.logAbort(c, final, copied, err)
+		if ctx.Err() == context.DeadlineExceeded {
+			h.config.Metrics.Counter("answer.late." + copying.waitedFor()).Inc(1)
+		}
+		h.logAbort(c, final, copying, err)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
 		w.Header()[name] = values
 	}
+	return nil
+}
+
+// noBodyFailure returns the failure of an answer of which only the head arrived.
+func noBodyFailure(ctx context.Context, c *call, final result, err error) *failure.Error {
+	reason := failure.ConnectionLost
+	switch {
+	case c.request.Context().Err() != nil:
+		reason = failure.CallerGone
+	case ctx.Err() == context.DeadlineExceeded:
+		reason = failure.DeadlineExceeded
+	case ctx.Err() != nil:
+		reason = failure.Draining // this node stops
+	}
+	return failure.Wrap(err, reason, failure.Unknown, "only the head of the answer arrived from node %s", final.memberID)
 }
 
 // copyHeader copies a response header without hop-by-hop and internal headers.
@@ -55,33 +85,75 @@
 	wire.RemoveHeaders(dst, internalHeaders)
 }
 
-// copyBody copies the response body and returns the number of bytes that it copied. When the body's length is unknown it
-// flushes after each read, so that the caller gets the parts of a slow response as they arrive.
-func copyBody(w http.ResponseWriter, response *http.Response) (copied int64, err error) {
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
-	flush := response.ContentLength < 0
-	controller := http.NewResponseController(w)
-	for {
-		n, readErr := response.Body.Read(buffer[:])
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return copied, err
-			}
-			copied += int64(n)
+// answerCopy copies the body of a node's response to the caller.
+type answerCopy struct {
+	w        http.ResponseWriter
+	response *http.Response
+	copied   int64 // bytes
+
+	mu      sync.Mutex
+	writing bool // the copy waits for the caller; otherwise it waits for the node
+	ended   bool // end was called; writing does not change any more
+}
+
+// run copies the body; n and readErr are the result of its first read into buffer. When the length is unknown it flushes after
+// each read, so that the caller gets the parts of a slow response as they arrive.
+func (a *answerCopy) run(buffer []byte, n int, readErr error) error {
+	for ; ; n, readErr = a.response.Body.Read(buffer) {
+		if err := a.write(buffer[:n], readErr == nil && a.response.ContentLength < 0); err != nil {
+			return err
 		}
 		if errors.Is(readErr, io.EOF) {
-			return copied, nil
+			return nil
 		}
 		if readErr != nil {
-			return copied, readErr
+			return readErr
 		}
-		if flush {
-			if err := controller.Flush(); err != nil {
-				return copied, err
-			}
+	}
+}
+
+// write writes a part of the body, which may be empty, to the caller.
+func (a *answerCopy) write(part []byte, flush bool) error {
+	a.setWriting(true)
+	if len(part) > 0 {
+		if _, err := a.w.Write(part); err != nil {
+			return err
+		}
+		a.copied += int64(len(part))
+	}
+	if flush {
+		if err := http.NewResponseController(a.w).Flush(); err != nil {
+			return err
 		}
 	}
+	a.setWriting(false)
+	return nil
+}
+
+func (a *answerCopy) setWriting(writing bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.writing = writing
+	}
+}
+
+// end makes further reads of the body fail.
+func (a *answerCopy) end() {
+	a.mu.Lock()
+	a.ended = true
+	a.mu.Unlock()
+	_ = a.response.Body.Close()
+}
+
+// waitedFor returns what the copy waited for when it was ended or failed: "caller" or "node".
+func (a *answerCopy) waitedFor() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.writing {
+		return "caller"
+	}
+	return "node"
 }
 
 // refuse responds with a typed failure.
