--- a/internal/listcheck/listcheck.go
+++ b/internal/listcheck/listcheck.go
@@ -85,9 +85,10 @@
 
 // Configuration is a configuration that was read from one of its forms.
 type Configuration struct {
-	// List is nil if the configuration has errors, which are in Errors then, and not read from Errors otherwise.
-	List   *servicelist.List
-	Errors []Finding
+	// List is nil if the configuration has errors.
+	List *servicelist.List
+	// Findings are the errors, and what only the form of a valid configuration shows, such as entries that its reader ignores.
+	Findings []Finding
 	// Locate returns the name of a field in the configuration's form, and its line or else that of its closest parent;
 	// 0: not known.
 	Locate func(Ref) (field string, line int)
@@ -105,10 +106,8 @@
 // Analyze returns the findings of a configuration, sorted by line: its errors if there are any, and otherwise entries
 // without effect and contradictions.
 func Analyze(configuration Configuration, facts Facts) []Finding {
-	check := checker{list: configuration.List, facts: facts, locate: configuration.Locate}
-	if check.list == nil {
-		check.findings = slices.Clone(configuration.Errors)
-	} else {
+	check := checker{list: configuration.List, facts: facts, locate: configuration.Locate, findings: slices.Clone(configuration.Findings)}
+	if check.list != nil {
 		check.rules = sortedRules(check.list)
 		check.tenants = sortedTenants(check.list)
 		check.checkMatches()
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -219,7 +219,7 @@
 	}
 	current := s.ReadConfiguration(rows[found].Value, set)
 	if current.List == nil {
-		return nil, 0, &CorruptError{Name: s.List.Key, Detail: fmt.Sprint(current.Errors[0])}
+		return nil, 0, &CorruptError{Name: s.List.Key, Detail: fmt.Sprint(current.Findings[0])}
 	}
 	return current.List, current.List.Version, nil
 }
@@ -250,7 +250,7 @@
 	}
 	var invalid *servicelist.Error
 	if !errors.As(err, &invalid) {
-		return listcheck.Configuration{Errors: []listcheck.Finding{{Class: listcheck.Invalid, Kind: "invalid", Message: err.Error()}}}
+		return listcheck.Configuration{Findings: []listcheck.Finding{{Class: listcheck.Invalid, Kind: "invalid", Message: err.Error()}}}
 	}
 	var findings []listcheck.Finding
 	for _, problem := range invalid.Problems {
@@ -259,7 +259,7 @@
 			Class: listcheck.Invalid, Kind: string(problem.Kind), Entry: entry, Field: field, Line: problem.Line, Message: problem.Message, Key: problem.Key,
 		})
 	}
-	return listcheck.Configuration{Errors: findings}
+	return listcheck.Configuration{Findings: findings}
 }
 
 // locate returns the name and the line of a field in a service list in TOML.
