--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -1,9 +1,12 @@
 package callerhttp
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -20,10 +23,10 @@
 	now := time.Unix(1000, 0)
 	var holdings []holding
 	for i := range 60 {
-		holdings = append(holdings, holding{bytes: 16 << 10, since: now.Add(-10 * time.Second)})
+		holdings = append(holdings, holding{bytes: 16 << 10, since: now.Add(-time.Minute), heldSince: now.Add(-10 * time.Second)})
 		if i%3 == 0 {
-			holdings = append(holdings, holding{bytes: 4 << 10, since: now.Add(-50 * time.Millisecond), served: true},
-				holding{bytes: 1 << 20, since: now.Add(-time.Hour), placed: true})
+			holdings = append(holdings, holding{bytes: 4 << 10, since: now.Add(-time.Minute), heldSince: now.Add(-50 * time.Millisecond), served: true},
+				holding{bytes: 1 << 20, heldSince: now.Add(-time.Hour), placed: true})
 		}
 	}
 	const excess = 40 * 16 << 10
@@ -57,7 +60,7 @@
 		holdings := rapid.SliceOf(rapid.Custom(func(t *rapid.T) holding {
 			return holding{
 				bytes: rapid.IntRange(0, 1000).Draw(t, "bytes"), placed: rapid.Bool().Draw(t, "placed"),
-				since: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
+				heldSince: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
 			}
 		})).Draw(t, "holdings")
 		excess := rapid.IntRange(1, 5000).Draw(t, "excess")
@@ -165,3 +168,137 @@
 		}
 	}
 }
+
+// Guards against buffered answers that take more memory than is counted: replays a caller that pipelines requests for large
+// files, whose first answer is slow.
+func TestBufferedAnswersTakeWhatIsCounted(t *testing.T) {
+	const length, waiting = 400 << 10, 8
+	g := newGate()
+	wrote := make(chan struct{}, waiting)
+	server, addr := startServer(t, Bounds{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			g.pass(r)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = w.Write(make([]byte, 1000))
+		_ = http.NewResponseController(w).Flush()
+		wrote <- struct{}{}
+		g.pass(r)
+		_, _ = w.Write(make([]byte, length-1000))
+	})
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/slow")+strings.Repeat(get("/file"), waiting))
+	for range waiting {
+		<-wrote
+	}
+	conns, _ := server.holdings()
+	taken := int64(0)
+	conns[0].mu.Lock()
+	for _, e := range conns[0].queue {
+		taken += int64(cap(e.out))
+	}
+	conns[0].mu.Unlock()
+	assert.Equal(t, taken, server.Held().Answers-waiting*overlapBytes)
+	assert.Assert(t, taken <= maxBufferedBytes)
+	g.release("/file")
+	g.release("/slow")
+	readAnswer(reader, http.MethodGet)
+	for range waiting {
+		status, body, _ := readAnswer(reader, http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, len(body), length)
+	}
+	server.requireNothingHeld(t)
+}
+
+// Guards against answers that wait for those before them and take the memory of incomplete heads: an ordinary caller whose head
+// arrives in two parts was then closed.
+func TestBufferedAnswersLeaveRoomForHeads(t *testing.T) {
+	const connections = 4
+	g := newGate()
+	server, addr := startServer(t, Bounds{Memory: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			g.pass(r)
+		case "/file":
+			for range 100 {
+				if _, err := w.Write(make([]byte, 4<<10)); err != nil {
+					return
+				}
+			}
+		}
+	})
+	for range connections {
+		conn, _ := dial(t, addr)
+		write(t, conn, get("/slow")+get("/file"))
+	}
+	g.awaitStarted(t, connections)
+	server.awaitFullBuffers(t, connections)
+	const ordinary = 4
+	var callers []net.Conn
+	var readers []*bufio.Reader
+	for range ordinary {
+		conn, reader := dial(t, addr)
+		write(t, conn, "GET / HTTP/1.1\r\n")
+		callers, readers = append(callers, conn), append(readers, reader)
+	}
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) { // until each has arrived or one is closed
+		_, holdings := server.holdings()
+		holds := slices.DeleteFunc(holdings, func(h holding) bool { return h.placed || h.bytes == 0 })
+		server.mu.Lock()
+		evicted := server.closures["memory"] != nil
+		server.mu.Unlock()
+		if len(holds) == ordinary || evicted {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end))
+	}
+	for i, conn := range callers {
+		_, _ = io.WriteString(conn, "Host: x\r\n\r\n") // fails if the connection is closed
+		status, _, _ := readAnswer(readers[i], http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
+
+// awaitFullBuffers waits until no more answers may be buffered: on each of the connections a handler waits, or a request that may
+// not be started early.
+func (s *Server) awaitFullBuffers(t *testing.T, connections int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		waiting := 0
+		conns, _ := s.holdings()
+		for _, c := range conns {
+			c.mu.Lock()
+			if c.waiting > 0 || c.heldBack != nil {
+				waiting++
+			}
+			c.mu.Unlock()
+		}
+		if waiting == connections {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%d connections wait", waiting)
+	}
+}
+
+// Guards against an ordinary caller that is closed in place of a crowd: its connection was idle for long, and its next head has just
+// begun to arrive, while those of the crowd have stayed incomplete for seconds.
+func TestHeadsAreHeldFromTheirFirstByte(t *testing.T) {
+	server, addr := startServer(t, Bounds{}, func(http.ResponseWriter, *http.Request) {})
+	conn, reader := dial(t, addr)
+	write(t, conn, get("/"))
+	readAnswer(reader, http.MethodGet)
+	conns, _ := server.holdings()
+	began := time.Now()
+	conns[0].mu.Lock()
+	conns[0].since = began.Add(-time.Minute)
+	conns[0].mu.Unlock()
+	write(t, conn, "GET / HTTP/1.1\r\n")
+	for end := time.Now().Add(testTimeout); server.Held().Heads == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	held := conns[0].holding()
+	crowd := holding{bytes: held.bytes, since: began.Add(-5 * time.Second), heldSince: began.Add(-5 * time.Second)}
+	assert.DeepEqual(t, memoryVictims([]holding{held, crowd}, 1, began.Add(time.Second)), []int{1})
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -135,7 +135,7 @@
 	request.RequestURI = ""
 	request.URL.Scheme = "http"
 	request.URL.Host = a.member.PeerAddr
-	prefixPath(request, wire.ForwardPath)
+	wire.SetPath(request.URL, wire.ForwardPath+a.call.path)
 	prepareHeader(request.Header)
 	header := request.Header
 	header.Set(wire.Service, a.call.service.Name)
@@ -176,7 +176,7 @@
 	if a.call.body.streamed() {
 		header.Set("Expect", "100-continue") // so that a refusal leaves the body unread, for another target
 	}
-	a.call.body.attach(request, a.call.idempotent)
+	a.call.body.attach(request)
 	return request
 }
 
