Admission: a request that was refused leaves no claim to run alone

exclusiveClaimed was set before the checks that refuse a request, and the refusals of overflows did not clear it: later isolated requests were refused with queue-full. A claim now exists while a request with exclusive use runs or is queued.

TestRefusedOverflowLeavesNoClaim failed before with queue-full; admission and docs pass with -race.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,23 +38,22 @@
 // Limiter limits the concurrent requests at the target and queues the requests that wait for a slot. It is safe for
 // concurrent use.
 type Limiter struct {
-	mu               sync.Mutex
-	limits           Limits
-	inFlight         int
-	exclusive        bool            // the request in flight has exclusive use of the target
-	exclusiveClaimed bool            // a request with exclusive use is in flight or queued
-	running          []*Slot         // in no particular order
-	free             []time.Duration // scratch buffer of planQueue
-	queue            queue
-	shares           shares
-	moves            moveBudget
-	times            estimator
-	saturation       saturationDetector
-	agreedLimit      int       // limit chosen by most targets of the service; 0: none
-	reportedLimit    int       // limit that LearnedLimit returned last; 0: none
-	warmUpUntil      time.Time // until then service times are not used to learn the limit
-	draining         bool
-	idle             chan struct{} // closed when nothing is in flight or queued; nil when no drain waits
+	mu            sync.Mutex
+	limits        Limits
+	inFlight      int
+	exclusive     bool            // the request in flight has exclusive use of the target
+	running       []*Slot         // in no particular order
+	free          []time.Duration // scratch buffer of planQueue
+	queue         queue
+	shares        shares
+	moves         moveBudget
+	times         estimator
+	saturation    saturationDetector
+	agreedLimit   int       // limit chosen by most targets of the service; 0: none
+	reportedLimit int       // limit that LearnedLimit returned last; 0: none
+	warmUpUntil   time.Time // until then service times are not used to learn the limit
+	draining      bool
+	idle          chan struct{} // closed when nothing is in flight or queued; nil when no drain waits
 
 	breaker         breaker
 	rate            rateLimit
@@ -184,7 +183,6 @@
 		l.mu.Unlock()
 		return nil, refusal
 	}
-	l.exclusiveClaimed = l.exclusiveClaimed || w.Exclusive
 	held := l.heldByPace(w, now)
 	if len(l.queue.waiters) == 0 && l.canStart(w.Exclusive) && !held {
 		slot := l.grantSlot(w, now)
@@ -260,7 +258,6 @@
 			continue
 		}
 		w := l.queue.remove(i)
-		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
 		w.result <- result{refusal: refused}
 	}
 	l.grantQueued()
@@ -274,7 +271,7 @@
 		return failure.New(failure.Draining, failure.NotRun, "the target is draining")
 	case remaining <= 0:
 		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the deadline has passed")
-	case w.Exclusive && l.exclusiveClaimed:
+	case w.Exclusive && l.exclusiveClaimed():
 		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
 	case len(l.queue.waiters) == 0 && l.canStart(w.Exclusive):
 		return nil
@@ -293,6 +290,11 @@
 	return nil
 }
 
+// exclusiveClaimed reports whether a request with exclusive use is in flight or queued. The mutex is held.
+func (l *Limiter) exclusiveClaimed() bool {
+	return l.exclusive || slices.ContainsFunc(l.queue.waiters, func(w *waiter) bool { return w.Exclusive })
+}
+
 // queueLength returns the number of requests that may wait. Those for which slots are free, and that wait only for the
 // target's pace, are not counted: requests that reach a new target together all wait for its first reading.
 func (l *Limiter) queueLength(now time.Time) int {
@@ -421,7 +423,6 @@
 	if !l.queue.removeWaiter(w) {
 		return false
 	}
-	l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
 	l.grantQueued()
 	return true
 }
@@ -452,7 +453,6 @@
 func (l *Limiter) grantOrRefuse(w *waiter, now time.Time) result {
 	w.serviceTime = l.times.estimate(w.Kind, l.slotLimit())
 	if w.Deadline.Sub(now) < w.serviceTime {
-		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
 		l.shares.refuse(&w.Request, now)
 		return result{refusal: deadlineUnreachableError()}
 	}
@@ -480,7 +480,6 @@
 	l.running = removeSlot(l.running, s)
 	if s.exclusive {
 		l.exclusive = false
-		l.exclusiveClaimed = false
 	}
 	if completed && !s.slow {
 		l.times.record(s.kind, s.load, time.Since(s.started))
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	if sample := r.limiter.LoadSample(); sample.InFlight != 0 || sample.Queued != 0 || r.limiter.exclusiveClaimed {
+	if sample := r.limiter.LoadSample(); sample.InFlight != 0 || sample.Queued != 0 || r.limiter.exclusiveClaimed() {
 		r.fail("requests left at the end: %+v", sample)
 	}
 }
--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -49,7 +49,6 @@
 	defer l.mu.Unlock()
 	refusal := failure.New(failure.Draining, failure.NotRun, "the target is draining")
 	for _, w := range l.queue.waiters {
-		l.exclusiveClaimed = l.exclusiveClaimed && !w.Exclusive
 		w.result <- result{refusal: refusal}
 	}
 	l.queue.waiters = nil
--- a/internal/admission/overflow_test.go
+++ b/internal/admission/overflow_test.go
@@ -34,6 +34,22 @@
 	slots[1].Release(true)
 }
 
+// Guards against a claim to run alone that stays when its request is refused as an overflow: all later ones were refused.
+func TestRefusedOverflowLeavesNoClaim(t *testing.T) {
+	limiter := New(Limits{Slots: 2, Queue: 4})
+	request := Request{Deadline: time.Now().Add(time.Minute)}
+	running, refusal := limiter.Acquire(context.Background(), request)
+	assert.Assert(t, refusal == nil)
+	request.Exclusive, request.Overflow = true, true
+	_, refusal = limiter.Acquire(context.Background(), request)
+	assert.Equal(t, refusal.Reason, failure.QueueFull)
+	running.Release(true)
+	request.Overflow = false
+	alone, refusal := limiter.Acquire(context.Background(), request)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	alone.Release(true)
+}
+
 // Guards against requests that wait behind a backlog although another region can answer them in time, and against requests
 // that leave without need: with a short queue, with too little slack, or without another region.
 func TestRequestsWithSlackLeaveABusyTarget(t *testing.T) {
