Ignore the second release of a slot

Cause: releasing a slot twice would index a list with -1; a timer makes some releases, so that the panic would end the process. No caller releases twice; found by review. Change: a slot remembers that it was released. Measured: TestSecondReleaseHasNoEffect panics before; admission and inbound pass with -race.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -71,7 +71,7 @@
 	refusal *failure.Error
 }
 
-// Slot is the permission for one request to run at the target. It must be released exactly once.
+// Slot is the permission for one request to run at the target. Releases after the first have no effect.
 type Slot struct {
 	limiter   *Limiter
 	exclusive bool
@@ -80,6 +80,7 @@
 	load      int           // requests at the target when this one started, itself included
 	started   time.Time
 	slow      bool // the target was in a slow period when the request started
+	released  bool // guarded by the mutex of limiter
 }
 
 // New returns a limiter with the given limits. A Queue of 0 disables queueing.
@@ -469,6 +470,10 @@
 	l := s.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s.released {
+		return // a slot may be released by a timer, whose panic would end the process
+	}
+	s.released = true
 	// A request that was cut off after more than the usual time is recorded with the time that it ran. Otherwise only
 	// the fastest requests of an overloaded target would be measured.
 	now := time.Now()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -230,3 +230,17 @@
 		slot.Release(true)
 	})
 }
+
+// Guards against a slot that is released twice: the second release ended the process if a timer made it.
+func TestSecondReleaseHasNoEffect(t *testing.T) {
+	limiter := New(Limits{Slots: 2, Queue: 1})
+	first, refusal := limiter.AcquireByDeadline(context.Background(), time.Now().Add(time.Minute))
+	assert.Assert(t, refusal == nil)
+	second, refusal := limiter.AcquireByDeadline(context.Background(), time.Now().Add(time.Minute))
+	assert.Assert(t, refusal == nil)
+	first.Release(true)
+	first.Release(true)
+	assert.Equal(t, limiter.LoadSample().InFlight, 1)
+	second.Release(true)
+	assert.Equal(t, limiter.LoadSample().InFlight, 0)
+}
