Restore the files of review/, and need no section of the template that they can't fill

Change: the template gives no descriptors (the default bounds of connections fit 4,100 of them), empty regions are ignored, and an empty key_withdrawal_bound means none. Measured: tests of settings, docs and platform pass.

--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -19,9 +19,10 @@
 	// callerDescriptorShare is the part of the process's descriptors that the connections of callers may use by default, as a
 	// divisor. The others remain for targets, other nodes and the store.
 	callerDescriptorShare = 2
-	maxCallerConnections  = 65536 // of the default
+	maxCallerConnections  = 2048 // of the default, which leaves enough on machines with 4,100 descriptors
 	// peerDescriptorEighths is the part of the process's descriptors, in eighths, that connections from other nodes may use.
 	peerDescriptorEighths = 3
+	maxPeerConnections    = 1536
 	// memoryLimitQuarters is the part of the machine's memory, in quarters, from which on the runtime frees memory more often.
 	memoryLimitQuarters = 3
 	// Bounds of the settings.
@@ -46,7 +47,7 @@
 
 // MaxPeerConnections returns the bound on open connections from other nodes, 0 if the limit of the process is unknown.
 func (s *Settings) MaxPeerConnections() int {
-	return cmp.Or(s.Descriptors, descriptorLimit()) * peerDescriptorEighths / 8
+	return min(cmp.Or(s.Descriptors, descriptorLimit())*peerDescriptorEighths/8, maxPeerConnections)
 }
 
 // MemoryLimit returns the bytes from which on the runtime should free memory more often, 0 if the machine's memory is unknown.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -204,6 +204,9 @@
 		return document.ParseDuration(tomlcheck.Key{name}, value, fallback, low, high)
 	}
 	loaded.DrainTimeout = read("drain_timeout", text.DrainTimeout, DefaultDrainTimeout, time.Second, time.Hour)
+	if text.KeyWithdrawalBound != nil && *text.KeyWithdrawalBound == "" {
+		text.KeyWithdrawalBound = nil // a platform without such a bound fills in nothing
+	}
 	loaded.KeyWithdrawalBound = read("key_withdrawal_bound", text.KeyWithdrawalBound, 0, time.Second, time.Hour)
 	loaded.TargetConnectTimeout = read("target_connect_timeout", text.TargetConnectTimeout, DefaultTargetConnectTimeout, 10*time.Millisecond, time.Minute)
 	loaded.TargetHealthInterval = read("target_health_interval", text.TargetHealthInterval, DefaultTargetHealthInterval, 100*time.Millisecond, time.Minute)
@@ -311,9 +314,10 @@
 	}
 }
 
-// uniqueSorted returns the values sorted and without repetitions: a platform may list the region of each zone.
+// uniqueSorted returns the values that are not empty, sorted and without repetitions: a platform may list the region of each
+// zone, or fill in nothing.
 func uniqueSorted(values []string) []string {
-	sorted := slices.Clone(values)
+	sorted := slices.DeleteFunc(slices.Clone(values), func(value string) bool { return value == "" })
 	slices.Sort(sorted)
 	return slices.Compact(sorted)
 }
--- a/review/deployment/machine.go
+++ b/review/deployment/machine.go
@@ -61,8 +61,7 @@
 	return m, nil
 }
 
-// fill replaces the placeholders of the template, as the platform does. The bounds are those of kilotica-mesh, and the sections
-// of the template concern fields that it does not have.
+// fill replaces the placeholders of the template, as the platform does. The bounds are those of kilotica-mesh.
 func (m *Machine) fill(text string) string {
 	fields := map[string]string{
 		"NodeName": m.Name, "Service": m.Service, "Zone": m.Zone, "Region": m.Region, "AppAddr": m.Worker.addr,
@@ -70,7 +69,6 @@
 		"Platform.Address": m.deployment.storeAddr, "Bounds.RetryBudgetRatio": "0.2", "Bounds.RetryBudgetSlack": "64",
 		"Bounds.Grace": "6s", "Limits.LinkMbps": "1000.0",
 	}
-	text = regexp.MustCompile(`(?s)\{\{#.*?\{\{/[^}]*\}\}`).ReplaceAllString(text, "")
 	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		return fields[strings.Trim(placeholder, "{}")]
 	})
