--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -38,8 +38,11 @@
 	Queued    int    `json:"queued"`     // requests waiting for the local target
 	// Limit is the number of requests per second that the local target accepts from all nodes together, as it states; 0: it
 	// states no limit. LimitAgeMS is the time in milliseconds since it last did.
-	Limit      float64 `json:"limit,omitempty"`
-	LimitAgeMS int64   `json:"limit_age_ms,omitempty"`
+	Limit float64 `json:"limit,omitempty"`
+	// CallerBytes is what callers make the process hold before their requests are placed, and CallerMemory its bound, in bytes.
+	CallerBytes  int64 `json:"caller_bytes"`
+	CallerMemory int64 `json:"caller_memory"`
+	LimitAgeMS   int64 `json:"limit_age_ms,omitempty"`
 	// ColdMS is the time in milliseconds for which the local target still warms up, as far as the node knows; 0: it does not.
 	ColdMS int64 `json:"cold_ms,omitempty"`
 	// EvacuatedZones are the zones whose targets get no requests, by the operators' order, sorted.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -28,6 +28,7 @@
 	if reader, ok := n.directory.Reader(); ok {
 		state.Reader = reader.ID
 	}
+	state.CallerBytes, state.CallerMemory = n.servers.CallerMemory()
 	state.EvacuatedZones = slices.Sorted(maps.Keys(snapshot.EvacuatedZones))
 	if current := n.target.current.Load(); current != nil {
 		load := current.handler.LoadSample()
--- a/internal/operator/nodes.go
+++ b/internal/operator/nodes.go
@@ -170,7 +170,7 @@
 	}
 	columns := "ZONE\tNODE\tSERVICE\tTARGET\tSTATE\tROW"
 	if r.queried {
-		columns += "\tREADY\tLIST\tMEMBERS\tREADER\tIN FLIGHT\tQUEUED\tLIMIT"
+		columns += "\tREADY\tLIST\tMEMBERS\tREADER\tIN FLIGHT\tQUEUED\tLIMIT\tCALLERS' MEMORY"
 	}
 	return head + table(columns, func(w io.Writer) {
 		for _, node := range r.Nodes {
@@ -205,7 +205,7 @@
 	return fmt.Sprintf("%.4g/s (%v ago)", state.Limit, age)
 }
 
-// nodeStateText returns the columns READY to LIMIT of a node, or the reason why the node did not respond.
+// nodeStateText returns the columns from READY on of a node, or the reason why the node did not respond.
 func nodeStateText(node NodeStatus) string {
 	if node.State == nil {
 		return "no answer: " + node.Problem
@@ -217,6 +217,6 @@
 	case reader == "":
 		reader = "store"
 	}
-	return fmt.Sprintf("%t\t%d\t%d\t%s\t%d\t%d\t%s", node.State.Ready, node.State.ListVersion, node.State.Members, reader,
-		node.State.InFlight, node.State.Queued, limitText(node.State))
+	return fmt.Sprintf("%t\t%d\t%d\t%s\t%d\t%d\t%s\t%d of %d KiB", node.State.Ready, node.State.ListVersion, node.State.Members, reader,
+		node.State.InFlight, node.State.Queued, limitText(node.State), node.State.CallerBytes>>10, node.State.CallerMemory>>10)
 }
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -157,6 +157,18 @@
 	}
 }
 
+// CallerMemory returns the bytes that callers make the process hold, and their bound.
+func (s *Servers) CallerMemory() (held, limit int64) {
+	for _, srv := range s.all {
+		if callers, ok := srv.http.(*callerhttp.Server); ok {
+			of := callers.Held()
+			held += of.Heads + of.Requests + of.Answers
+			limit += of.Memory
+		}
+	}
+	return held, limit
+}
+
 // Parts returns the servers as parts for Run. Each ends on Shutdown or Close, regardless of its context.
 func (s *Servers) Parts() []Part {
 	var parts []Part
