--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -12,7 +12,7 @@
 )
 
 // store is a stand-in of the platform's row store: rows-get, rows-feed and rows-tx, with a full history. It answers after the
-// few milliseconds that the pages name.
+// few milliseconds that the pages name, and can come back from an older copy.
 type store struct {
 	mu      sync.Mutex
 	version uint64
@@ -20,10 +20,9 @@
 	history []row
 	changed chan struct{}
 	addr    string
-
-	handler              http.Handler
-	listener, former     net.Listener
-	server, formerServer *http.Server
+	era     int         // number of times that it came back from an older copy
+	written []time.Time // when each version was written
+	down    bool        // all calls are answered 503
 }
 
 type row struct {
@@ -41,13 +40,25 @@
 const storeDelay = 4 * time.Millisecond
 
 func newStore() (*store, error) {
-	s := &store{rows: map[string]row{}, changed: make(chan struct{})}
+	listener, err := net.Listen("tcp", freeAddr())
+	if err != nil {
+		return nil, err
+	}
+	s := &store{rows: map[string]row{}, changed: make(chan struct{}), addr: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.transact)
-	s.handler = mux
-	return s, s.listen()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.isDown(w.Header()) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			mux.ServeHTTP(w, r)
+		}))
+	}()
+	return s, nil
 }
 
 // put writes a row as the operator does. Its return is the operator's ack.
@@ -61,6 +72,7 @@
 // apply applies writes as one transaction. The caller holds mu.
 func (s *store) apply(writes []row) {
 	s.version++
+	s.written = append(s.written, time.Now())
 	for _, w := range writes {
 		w.Version = s.version
 		if w.Tombstone {
@@ -77,6 +89,7 @@
 func (s *store) answer(w http.ResponseWriter, status int, rows []row, more bool, version uint64) {
 	time.Sleep(storeDelay)
 	w.Header().Set("Content-Type", "application/json")
+	s.isDown(w.Header()) // the era may have changed while the call waited
 	w.WriteHeader(status)
 	if rows == nil {
 		rows = []row{}
@@ -125,6 +138,11 @@
 			}
 		}
 		version, changed := s.version, s.changed
+		if after > version {
+			s.mu.Unlock()
+			s.answer(w, http.StatusGone, nil, false, version)
+			return
+		}
 		s.mu.Unlock()
 		if len(rows) > 0 || last {
 			s.answer(w, http.StatusOK, rows, false, version)
@@ -175,3 +193,45 @@
 	}
 	s.answer(w, status, current, false, version)
 }
+
+// isDown states the era in the header of an answer and reports whether the store is away.
+func (s *store) isDown(header http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	header.Set("Store-Era", strconv.Itoa(s.era))
+	return s.down
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// restore makes the store come back from a copy of the given age: what was written since is gone, versions are given out again,
+// and the era rises by one.
+func (s *store) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := 0
+	for copied < len(s.written) && time.Since(s.written[copied]) >= age {
+		copied++
+	}
+	s.version, s.written, s.rows = uint64(copied), s.written[:copied], map[string]row{}
+	var history []row
+	for _, w := range s.history {
+		switch {
+		case w.Version > s.version:
+			continue
+		case w.Tombstone:
+			delete(s.rows, w.id())
+		default:
+			s.rows[w.id()] = w
+		}
+		history = append(history, w)
+	}
+	s.history = history
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
