--- a/review/standins-2/case_body.go
+++ b/review/standins-2/case_body.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	patience = 20 * time.Second // longer than each time limit that the desired state sets
-	shoppers = 10               // ordinary consumers that try to connect; the rule asks for seven
-	tryFor   = 8 * time.Second  // twice Contact
+	crowdDeadline = 10 * time.Second // the longest deadline of the site's consumers; they leave then
+	shoppers      = 10               // ordinary consumers that try to connect; the rule asks for seven
+	contact       = 4 * time.Second  // the bound Contact
+	tryFor        = 6 * time.Second  // longer than Contact
 )
 
 // stalledBody checks RECOVER: a machine that says it is ready takes new connections.
@@ -22,45 +23,48 @@
 		return nil, err
 	}
 	n := s.nodes[0]
-	crowd := min(s.fds/2, 2048) + 52 // connections of consumers that stop in the middle of a body
-	var open []net.Conn
-	defer func() {
-		for _, conn := range open {
-			_ = conn.Close()
-		}
-	}()
-	answered := make(chan int, crowd)
+	crowd := min(s.fds/2, 2048) + 52 // consumers that stop in the middle of a body
+	body := "lot=7&kilos=21"
+	part := body
+	if trouble {
+		part = body[:5]
+	}
+	answered := make(chan bool, crowd)
+	began := time.Now()
 	for range crowd {
 		conn, err := net.DialTimeout("tcp", n.outbound, time.Second)
 		if err != nil {
 			return nil, err
 		}
-		open = append(open, conn)
-		body := "lot=7&kilos=21"
-		part := body
-		if trouble {
-			part = body[:5]
-		}
-		_, _ = fmt.Fprintf(conn, "POST /pufi791/2f HTTP/1.1\r\nHost: %s\r\nAcacialock-Request-Id: %s\r\nAcacialock-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s",
-			host, newID("s"), len(body), part)
+		_ = conn.SetDeadline(time.Now().Add(crowdDeadline))
+		_, _ = fmt.Fprintf(conn, "POST /pufi791/2f HTTP/1.1\r\nHost: %s\r\nAcacialock-Request-Id: %s\r\nAcacialock-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			host, newID("s"), crowdDeadline.Milliseconds(), len(body), part)
+		until := time.NewTimer(crowdDeadline)
 		go func() {
-			_ = conn.SetReadDeadline(time.Now().Add(patience))
-			got, _ := io.ReadAll(io.LimitReader(conn, 12))
-			answered <- len(got)
+			defer conn.Close()
+			got, _ := io.ReadAll(io.LimitReader(conn, 12)) // ends at the deadline
+			answered <- len(got) > 0
+			<-until.C
 		}()
-		time.Sleep(2 * time.Millisecond)
 	}
-	s.record.printf("%d consumers of machine %s have sent a purchase's head and %s", crowd, n.name,
-		map[bool]string{true: "5 of the 14 bytes of its body, and send nothing more", false: "its whole body"}[trouble])
-	time.Sleep(patience)
+	opened := time.Since(began)
+	s.record.printf("%d consumers of machine %s have sent a purchase's head and %s, within %v", crowd, n.name,
+		map[bool]string{true: "5 of the 14 bytes of its body, and send nothing more", false: "its whole body"}[trouble], opened)
+	if opened > crowdDeadline-tryFor-time.Second {
+		return nil, fmt.Errorf("the crowd took %v to open its connections", opened)
+	}
+	breaks := ordinaryConsumers(s, n)
 	withAnswer := 0
 	for range crowd {
-		if <-answered > 0 {
+		if <-answered {
 			withAnswer++
 		}
 	}
-	s.record.printf("%v later %d of them have an answer. HeaderTimeout is 3 s, IdleTimeout 15 s, the route's Timeout 2 s, the deadline 4 s", patience, withAnswer)
-	return ordinaryConsumers(s, n), nil
+	s.record.printf("%d of the %d have got an answer before they left at their deadline of %v; the route's Timeout is 2 s", withAnswer, crowd, crowdDeadline)
+	time.Sleep(time.Second)
+	got := consumer{outbound: n.outbound, deadline: 3 * time.Second}.send(http.MethodGet, "/lohu930/2f", newID("b"), "", "")
+	s.record.printf("once they have left, a consumer of machine %s gets %v", n.name, got)
+	return breaks, nil
 }
 
 // ordinaryConsumers lets ordinary consumers of the machine browse for tryFor, and asks for its readiness once a second.
@@ -105,7 +109,7 @@
 		got := consumer{outbound: other.outbound, deadline: 3 * time.Second}.send(http.MethodGet, "/lohu930/2f", newID("b"), "", "")
 		s.record.printf("a consumer of machine %s gets %v", other.name, got)
 	}
-	if served == 0 && ready == asked {
+	if served == 0 && ready == asked && tryFor > contact {
 		return []string{fmt.Sprintf("RECOVER: machine %s said in %v that it is ready, %d of %d times, and took none of the %d new connections of %d consumers",
 			n.name, tryFor, ready, asked, tries, shoppers)}
 	}
--- a/review/standins-2/case_extra.go
+++ b/review/standins-2/case_extra.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,14 +147,21 @@
 	return all, nil
 }
 
-// buy sends a purchase, and once more after a status that promises that it has not run, as the pages allow consumers to.
+// buy sends a purchase, and once more after a status that promises that it has not run, as the pages allow consumers to: after the
+// time in Retry-After, up to a third of the time left, and within the deadline.
 func (c consumer) buy() []purchase {
+	end := time.Now().Add(c.deadline)
 	first := purchase{id: newID("p")}
 	first.got = c.send(http.MethodPost, "/pufi791/2f", first.id, "", "lot=7")
 	if !isPromise(first.got.status) {
 		return []purchase{first}
 	}
-	time.Sleep(250 * time.Millisecond)
+	pause := 250 * time.Millisecond // without a Retry-After
+	if seconds, err := strconv.ParseFloat(first.got.retry, 64); err == nil {
+		pause = time.Duration(seconds * float64(time.Second))
+	}
+	time.Sleep(min(pause, time.Until(end)/3))
 	first.again = newID("p")
+	c.deadline = time.Until(end)
 	return []purchase{first, {id: first.again, got: c.send(http.MethodPost, "/pufi791/2f", first.again, "", "lot=7")}}
 }
