--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -49,6 +49,12 @@
 
 // startNode starts a platform stand-in, a target and a node with lowered limits.
 func startNode(t *testing.T) *testcluster.Node {
+	t.Helper()
+	return startNodeWithList(t, serviceList)
+}
+
+// startNodeWithList is startNode with another service list.
+func startNodeWithList(t *testing.T, serviceList string) *testcluster.Node {
 	t.Helper()
 	cluster, err := testcluster.Start(testcluster.Config{Dir: t.TempDir()})
 	assert.NilError(t, err)
--- a/internal/testsite/backend.go
+++ b/internal/testsite/backend.go
@@ -55,6 +55,7 @@
 	checkInAddr         string
 	log                 *RunLog
 	client              *http.Client
+	respondAs           func(w http.ResponseWriter, r *http.Request) bool // nil: the worker's own response
 
 	// FaultMode holds the FaultMode that selects how the worker responds.
 	FaultMode atomic.Int64
@@ -153,9 +154,9 @@
 	}
 }
 
-// respond writes the response that the fault mode selects for a request that ran. It returns false in the mode Healthy, in
-// which the worker responds normally.
-func (b *Backend) respond(w http.ResponseWriter, _ *http.Request) bool {
+// respond writes the response that the fault mode selects for a request that ran, or that of respondAs. It returns false if the
+// worker is to respond normally.
+func (b *Backend) respond(w http.ResponseWriter, r *http.Request) bool {
 	switch FaultMode(b.FaultMode.Load()) {
 	case ServerError:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -169,7 +170,7 @@
 	case CloseConnection:
 		panic(http.ErrAbortHandler)
 	default:
-		return false
+		return b.respondAs != nil && b.respondAs(w, r)
 	}
 	return true
 }
--- a/internal/testsite/node.go
+++ b/internal/testsite/node.go
@@ -23,6 +23,7 @@
 	Store, Callers, Peers, Targets *Proxy
 	Backend                        *Backend
 	DrainTimeout                   time.Duration // written by WriteSettings
+	Settings                       string        // further lines of the settings file
 
 	peer, checkIn, file, program string
 
@@ -36,8 +37,9 @@
 	boots    int
 }
 
-func newNode(dir, program, name, service, zone, storeAddr string, log *RunLog, client *http.Client) (*Node, error) {
-	n := &Node{Name: name, Service: service, Zone: zone, program: program, DrainTimeout: 4 * time.Second,
+func newNode(dir, program string, config NodeConfig, storeAddr string, log *RunLog, client *http.Client) (*Node, error) {
+	name, service, zone := config.Name, config.Service, config.Zone
+	n := &Node{Name: name, Service: service, Zone: zone, Settings: config.Settings, program: program, DrainTimeout: 4 * time.Second,
 		file: filepath.Join(dir, name+".toml"), LogFile: filepath.Join(dir, name+".log")}
 	var target string
 	for _, addr := range []*string{&n.Entry, &n.peer, &n.Admin, &n.checkIn, &target} {
@@ -59,7 +61,7 @@
 	}
 	n.Backend = &Backend{
 		name: name, service: service, zone: zone, addr: target, announcedAddr: n.Targets.Addr(), checkInAddr: n.checkIn,
-		log: log, client: client,
+		log: log, client: client, respondAs: config.Respond,
 	}
 	return n, n.WriteSettings()
 }
@@ -81,7 +83,7 @@
 retry_ratio = 0.2
 retry_slack = 64
 drain_timeout = %q
-`, n.Name, n.Service, n.Zone, n.Entry, n.peer, n.Peers.Addr(), n.Admin, n.checkIn, n.Targets.Addr(), n.Store.Addr(), n.DrainTimeout)
+`, n.Name, n.Service, n.Zone, n.Entry, n.peer, n.Peers.Addr(), n.Admin, n.checkIn, n.Targets.Addr(), n.Store.Addr(), n.DrainTimeout) + n.Settings
 	return os.WriteFile(n.file, []byte(text), 0o600)
 }
 
@@ -184,6 +186,13 @@
 	return n.boots
 }
 
+// PID returns the process id of the last process that was started.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.Process.Pid
+}
+
 // Proxies returns Store, Callers, Peers and Targets in this order.
 func (n *Node) Proxies() []*Proxy { return []*Proxy{n.Store, n.Callers, n.Peers, n.Targets} }
 
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -13,7 +13,13 @@
 )
 
 // NodeConfig is the name, service and availability zone of a node.
-type NodeConfig struct{ Name, Service, Zone string }
+type NodeConfig struct {
+	Name, Service, Zone string
+	// Settings holds further lines of the node's settings file.
+	Settings string
+	// Respond, unless nil, writes the worker's responses to requests that ran, as standin.Worker.Respond does.
+	Respond func(w http.ResponseWriter, r *http.Request) bool
+}
 
 // Site is a store stand-in with its nodes.
 type Site struct {
@@ -43,7 +49,7 @@
 
 // Add starts a worker and the node beside it. onExit is called when the process exits unexpectedly; it is then restarted.
 func (s *Site) Add(dir, program string, config NodeConfig, onExit func(problem string)) (*Node, error) {
-	n, err := newNode(dir, program, config.Name, config.Service, config.Zone, s.StoreAddr, s.Runs, s.client)
+	n, err := newNode(dir, program, config, s.StoreAddr, s.Runs, s.client)
 	if err != nil {
 		return nil, err
 	}
