callerhttp: serve requests with as many header lines as their head's limit allows

Callers saw 431 in calm for a request of 3,983 bytes with 600 header lines, in both forms, although the list allows heads of 16,384 bytes.

Cause: 512 lines was the default limit. It stood in for the memory of a parsed head, which was counted after parsing and with 96 bytes a line, while the copies that are sent on take more.

The limit on lines is off unless the operator sets caller_header_lines.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -2,61 +2,32 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/acacialock/acacialock/internal/callermem"
 )
 
-// Bounds limit what callers make the process hold before their requests are placed. A zero field selects its default.
+// Bounds limit what callers make the process hold. A zero field selects its default.
 type Bounds struct {
-	// Memory limits the bytes of all connections together. Half is for incomplete heads and for requests that wait for their
-	// turn, a quarter for the heads of requests in progress, and a quarter for answers that wait for those before them.
+	// Memory limits the bytes of all connections together, if the server has an account of its own; see Config.Account.
 	Memory int64
 	// Connections limits the open connections of callers.
 	Connections int
-	// HeaderLines limits the header lines of a request.
+	// HeaderLines limits the header lines of a request. By default only the size of the head and the memory limit them.
 	HeaderLines int
 }
 
-// Defaults of Bounds.
-const (
-	DefaultMemory      = 32 << 20
-	DefaultConnections = 2048
-	DefaultHeaderLines = 512
-)
+// DefaultConnections is the default of Bounds.Connections.
+const DefaultConnections = 2048
 
 func (b Bounds) withDefaults() Bounds {
-	b.Memory = cmp.Or(b.Memory, DefaultMemory)
 	b.Connections = cmp.Or(b.Connections, DefaultConnections)
-	b.HeaderLines = cmp.Or(b.HeaderLines, DefaultHeaderLines)
+	b.HeaderLines = cmp.Or(b.HeaderLines, math.MaxInt32)
 	return b
 }
 
-// Approximate memory that a parsed head takes besides its text.
-const (
-	requestBytes    = 1 << 10 // the request, its context and its answer
-	headerLineBytes = 96      // an entry of the header and its slice of values
-)
-
-// smallRequestBytes is the size of requests that are admitted up to twice the limit, so that a crowd of large ones leaves room
-// for those of ordinary callers.
-const smallRequestBytes = 4 << 10
-
-// admitsRequest answers crowds of valid requests with many header lines: it reports whether a request that takes size bytes may
-// be started while those in progress take taken bytes.
-func admitsRequest(taken, size, limit int64) bool {
-	if size <= smallRequestBytes {
-		return taken+size <= 2*limit
-	}
-	return taken+size <= limit
-}
-
-// Parts of Bounds.Memory, as divisors. Each kind has its own, so that a crowd of one kind leaves the others what they need.
-const (
-	headShare    = 2
-	requestShare = 4
-	answerShare  = 4
-)
-
 // overlapBytes is what a request counts as a waiting answer from its start, if those ahead of it are not answered, besides what
 // of its answer is buffered: its handler holds a part of the answer.
 const overlapBytes = 32 << 10
@@ -67,6 +38,7 @@
 
 // holding is what a connection holds while its callers send.
 type holding struct {
+	kind      callermem.Kind
 	bytes     int       // of an incomplete head
 	placed    bool      // a request is in progress, or the connection ends
 	served    bool      // a request was answered before
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/framing"
 )
 
@@ -156,19 +158,22 @@
 	}
 }
 
-// parse returns the exchange of a complete head, or of one with a fault.
+// parse returns the exchange of a complete head, or of one with a fault. Of a large head that is refused only the request line is
+// parsed.
 func (c *conn) parse(length int, fault framing.Fault) *exchange {
 	e := &exchange{conn: c}
-	var request http.Request
-	parsed := parseHead(&request, c.buffer[c.start:c.start+length])
+	head := c.buffer[c.start : c.start+length]
+	size := callermem.RequestSize(length, c.scanner.lines)
 	if fault == framing.NoFault {
-		fault = parsed
+		fault = c.reserveRequest(e, size)
+	}
+	if fault != framing.NoFault && size > callermem.SmallRequestBytes {
+		head = head[:bytes.IndexByte(head, '\n')+1]
 	}
+	var request http.Request
+	parsed := parseHead(&request, head)
 	if fault == framing.NoFault {
-		e.size = requestBytes + length + headerLineBytes*c.scanner.lines
-		if !c.server.admit(e.size) {
-			e.size, fault = 0, framing.NoMemory
-		}
+		fault = parsed
 	}
 	c.start += length
 	c.releaseEmpty()
@@ -176,6 +181,20 @@
 	return e
 }
 
+// reserveRequest counts the memory that the request takes. It returns a fault if there is too little.
+func (c *conn) reserveRequest(e *exchange, size int) framing.Fault {
+	account := c.server.account
+	switch {
+	case account.Reserve(callermem.Requests, int64(size)):
+		e.size = size
+		return framing.NoFault
+	case account.CanEverHold(callermem.Requests, int64(size)):
+		return framing.NoMemory
+	default:
+		return framing.HeaderTooLarge
+	}
+}
+
 // beginHead starts the time limit of a head that has not arrived whole, and counts its bytes.
 func (c *conn) beginHead(limits framing.Limits) {
 	c.mu.Lock()
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/framing"
 )
 
@@ -124,7 +125,7 @@
 // end cancels what the request still does and frees what its head took.
 func (e *exchange) end() {
 	e.cancel()
-	e.conn.server.requests.Add(-int64(e.size))
+	e.conn.server.account.Release(callermem.Requests, int64(e.size))
 	e.conn.server.unreserve(e.reserved)
 }
 
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/framing"
 )
 
@@ -27,7 +28,7 @@
 	logInterval = 10 * time.Second
 )
 
-// Config configures a Server. All fields are required except MayOverlap, Bounds and Count.
+// Config configures a Server. All fields are required except MayOverlap, Bounds, Account and Count.
 type Config struct {
 	Handler http.Handler
 	// Refuse answers a request with a fault in its head. The connection is closed after that.
@@ -38,6 +39,8 @@
 	// are answered, because it may be run more than once. nil: none may.
 	MayOverlap func(r *http.Request) bool
 	Bounds     Bounds
+	// Account counts what callers make the process hold; nil: the server has one of its own, with the limit Bounds.Memory.
+	Account *callermem.Account
 	// Count counts an event in the counter with this name; nil: events are not counted.
 	Count func(name string)
 }
@@ -46,10 +49,7 @@
 type Server struct {
 	config   Config
 	bounds   Bounds
-	held     atomic.Int64 // bytes of incomplete heads and of requests that wait for their turn
-	requests atomic.Int64 // bytes that the heads of requests in progress take
-	answers  atomic.Int64 // bytes of answers that wait for those before them
-	evicting atomic.Bool
+	account  *callermem.Account
 	draining atomic.Bool
 
 	mu       sync.Mutex
@@ -73,9 +73,15 @@
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{
-		config: config, bounds: config.Bounds.withDefaults(), conns: map[*conn]struct{}{}, closures: map[string]*closureLog{},
+	s := &Server{
+		config: config, bounds: config.Bounds.withDefaults(), account: config.Account,
+		conns: map[*conn]struct{}{}, closures: map[string]*closureLog{},
 	}
+	if s.account == nil {
+		s.account = callermem.NewAccount(config.Bounds.Memory)
+	}
+	s.account.SetReclaimer(s.reclaim)
+	return s
 }
 
 // Serve accepts connections until Shutdown or Close, and returns http.ErrServerClosed then. It returns the error of a
@@ -187,66 +193,50 @@
 	if bytes == 0 && c.heldBytes.Load() == 0 {
 		return
 	}
-	added := int64(bytes) - c.heldBytes.Swap(int64(bytes))
-	if s.held.Add(added) > s.bounds.Memory/headShare && added > 0 {
-		s.evictMemory()
-	}
+	s.account.Add(callermem.Heads, int64(bytes)-c.heldBytes.Swap(int64(bytes)))
 }
 
-// reserve counts the bytes of a buffered answer, unless all connections together would hold too much.
+// reserve counts the bytes of a buffered answer, unless callers would make the process hold too much.
 func (s *Server) reserve(bytes int) bool {
-	if s.answers.Add(int64(bytes)) <= s.bounds.Memory/answerShare {
-		return true
-	}
-	s.answers.Add(-int64(bytes))
-	return false
+	return s.account.TryReserve(callermem.Answers, int64(bytes))
 }
 
-func (s *Server) unreserve(bytes int) { s.answers.Add(-int64(bytes)) }
-
-// admit counts a request that takes size bytes, unless the requests in progress take too much.
-func (s *Server) admit(size int) bool {
-	taken := s.requests.Add(int64(size)) - int64(size)
-	if admitsRequest(taken, int64(size), s.bounds.Memory/requestShare) {
-		return true
-	}
-	s.requests.Add(-int64(size))
-	return false
-}
+func (s *Server) unreserve(bytes int) { s.account.Release(callermem.Answers, int64(bytes)) }
 
 // Held is what callers make the process hold.
 type Held struct {
 	Connections int
 	Heads       int64 // bytes of incomplete heads and of requests that wait for their turn
 	Requests    int64 // bytes of the heads of requests in progress
-	Answers     int64 // bytes of answers that wait for those before them
-	Memory      int64 // limit of the three together, Bounds.Memory
+	Bodies      int64 // bytes of bodies that are read before their request is sent on, or kept for another send
+	Answers     int64 // bytes of answers that wait for those before them, or are read before they are sent on
+	Forwarded   int64 // bytes of the heads of requests in progress that other nodes have forwarded
+	Memory      int64 // limit of all these together
 }
 
 // Held returns what callers make the process hold now.
 func (s *Server) Held() Held {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Held{len(s.conns), s.held.Load(), s.requests.Load(), s.answers.Load(), s.bounds.Memory}
-}
-
-// evictMemory closes connections until the bytes are within their limit again or none is left to close. One goroutine does this
-// at a time; what others add meanwhile is seen before it ends.
-func (s *Server) evictMemory() {
-	for s.held.Load() > s.bounds.Memory/headShare && s.evicting.CompareAndSwap(false, true) {
-		evicted := s.evictHolders()
-		s.evicting.Store(false)
-		if !evicted {
-			return
-		}
+	connections := len(s.conns)
+	s.mu.Unlock()
+	return Held{
+		Connections: connections,
+		Heads:       s.account.Held(callermem.Heads),
+		Requests:    s.account.Held(callermem.Requests),
+		Bodies:      s.account.Held(callermem.Bodies),
+		Answers:     s.account.Held(callermem.Answers),
+		Forwarded:   s.account.Held(callermem.Forwarded),
+		Memory:      s.account.Limit(),
 	}
 }
 
-// evictHolders closes the connections that memoryVictims chooses and reports whether there was one.
-func (s *Server) evictHolders() (evicted bool) {
+// reclaim closes the connections that memoryVictims chooses among those that hold memory of the kind, and reports whether there
+// was one. It implements callermem.Reclaimer.
+func (s *Server) reclaim(kind callermem.Kind, excess int64) (evicted bool) {
 	conns, holdings := s.holdings()
-	limit := s.bounds.Memory / headShare
-	excess := s.held.Load() - limit + limit/evictionShare
+	for i := range holdings {
+		holdings[i].placed = holdings[i].placed || kind != callermem.AnyKind && holdings[i].kind != kind
+	}
 	for _, index := range memoryVictims(holdings, excess, time.Now()) {
 		if conns[index].evict() {
 			evicted = true
@@ -333,7 +323,7 @@
 	connections := len(s.conns)
 	s.mu.Unlock()
 	if due {
-		klog.InfoS("caller connections closed", "reason", reason, "count", count, "connections", connections, "held", s.held.Load())
+		klog.InfoS("caller connections closed", "reason", reason, "count", count, "connections", connections, "held", s.account.Total())
 	}
 }
 
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -152,7 +152,9 @@
 		metrics.Gauge("caller.connections").Update(int64(held.Connections))
 		metrics.Gauge("caller.heads.bytes").Update(held.Heads)
 		metrics.Gauge("caller.requests.bytes").Update(held.Requests)
+		metrics.Gauge("caller.bodies.bytes").Update(held.Bodies)
 		metrics.Gauge("caller.answers.bytes").Update(held.Answers)
+		metrics.Gauge("caller.forwarded.bytes").Update(held.Forwarded)
 		metrics.Gauge("caller.memory.bytes").Update(held.Memory)
 	}
 }
@@ -162,7 +164,7 @@
 	for _, srv := range s.all {
 		if callers, ok := srv.http.(*callerhttp.Server); ok {
 			of := callers.Held()
-			held += of.Heads + of.Requests + of.Answers
+			held += of.Heads + of.Requests + of.Bodies + of.Answers + of.Forwarded
 			limit += of.Memory
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,7 @@
 	CallerMemory int64
 	// CallerConnections limits the open connections of callers; 0: half of the descriptors.
 	CallerConnections int
-	CallerHeaderLines int // maximum number of header lines of a caller's request; 0: callerhttp.DefaultHeaderLines
+	CallerHeaderLines int // maximum number of header lines of a caller's request; 0: no limit besides the size of the head and the memory
 	Descriptors       int // descriptors that the process may open; 0: the limit of the operating system
 
 	DrainTimeout             time.Duration // maximum wait for requests in flight at shutdown; default 30 s
