admission: cut off callers that stall while others want their place

Ordinary callers saw 503 queue-full, or no answer, for as long as 300 others had stopped in a chunk, in trailers or in a body of more than 64 KiB, while no target had work.

Cause: a request whose body is streamed takes a slot before its body has arrived and keeps it until the route's timeout.

While requests want a slot, the running ones are now checked every 250 ms. One that waits for its caller and moved less than 4 KiB in each of four checks is cut off, the longest stalled first and no more than others want a slot. For ten seconds after that streamed requests go last in the queue and take a quarter of the slots at most, so that a crowd that comes again does not win the places back. Nobody is cut off without demand, so the default meets no slow caller in calm. The request fails with caller-stalled, outcome unknown, and is not sent again.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -55,6 +55,10 @@
 	draining      bool
 	idle          chan struct{} // closed when nothing is in flight or queued; nil when no drain waits
 
+	demand            int       // requests that found no free slot since the last check of the running ones
+	stallCheckPending bool      // a check is scheduled
+	stalledAt         time.Time // a request was cut off last; see cautious
+
 	breaker         breaker
 	rate            rateLimit
 	cold            coldLimit
@@ -80,7 +84,10 @@
 	load      int           // requests at the target when this one started, itself included
 	started   time.Time
 	slow      bool // the target was in a slow period when the request started
-	released  bool // guarded by the mutex of limiter
+	streamed  bool
+	caller    Caller      // nil: the request is not cut off
+	stall     stallRecord // guarded by the mutex of limiter
+	released  bool        // guarded by the mutex of limiter
 }
 
 // New returns a limiter with the given limits. A Queue of 0 disables queueing.
@@ -163,6 +170,8 @@
 	w := &waiter{Request: request, result: make(chan result, 1)}
 	l.mu.Lock()
 	l.moves.earn()
+	l.noteDemand()
+	w.yields = w.Streamed && l.cautious(now)
 	w.serviceTime = l.times.estimate(request.Kind, l.slotLimit())
 	w.typicalTime = l.times.typical(request.Kind, l.slotLimit())
 	l.rate.refill(now)
@@ -185,7 +194,7 @@
 		return nil, refusal
 	}
 	held := l.heldByPace(w, now)
-	if len(l.queue.waiters) == 0 && l.canStart(w.Exclusive) && !held {
+	if !l.queue.goesBefore(w) && l.canStart(w.Exclusive) && !held && !l.holdsBack(w, now) {
 		slot := l.grantSlot(w, now)
 		l.mu.Unlock()
 		return slot, nil
@@ -274,7 +283,7 @@
 		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the deadline has passed")
 	case w.Exclusive && l.exclusiveClaimed():
 		return failure.New(failure.QueueFull, failure.NotRun, "another request waits to run alone or does")
-	case len(l.queue.waiters) == 0 && l.canStart(w.Exclusive):
+	case !l.queue.goesBefore(w) && l.canStart(w.Exclusive):
 		return nil
 	case l.queue.place(w, l.queueLength(now), now) == turnAway:
 		return l.withRetryAfter(
@@ -380,7 +389,7 @@
 	l.refreshWarmUp(now)
 	l.exclusive = w.Exclusive
 	slot := &Slot{limiter: l, exclusive: w.Exclusive, kind: w.Kind, expected: w.typicalTime, load: l.inFlight, started: now,
-		slow: l.pace.isSlow(now)}
+		slow: l.pace.isSlow(now), streamed: w.Streamed, caller: w.Caller}
 	l.running = append(l.running, slot)
 	return slot
 }
@@ -440,6 +449,10 @@
 			l.schedulePaceRead(now)
 			break
 		}
+		if l.holdsBack(l.queue.waiters[next], now) {
+			l.scheduleStallCheck() // which tries again, since no release may follow
+			break
+		}
 		w := l.queue.remove(next)
 		w.result <- l.grantOrRefuse(w, now)
 	}
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -174,14 +174,15 @@
 	return turnAway
 }
 
-// staysBefore reports whether other is refused rather than w if the queue is full. Of one priority, requests that are late are
+// staysBefore reports whether other is refused rather than w if the queue is full. While callers stall, streamed requests are
+// refused first. Of one priority, requests that are late are
 // refused first, then those of tenants that have got more than they are due, then those of kinds that have not got too little,
 // then the long ones, each of which takes the time of several others, and then those that the plan displaced: they would wait
 // and be late.
 func (w *waiter) staysBefore(other *waiter, now time.Time) bool {
 	late, otherLate := w.late(now), other.late(now)
 	switch {
-	case w.starved != other.starved || w.Priority != other.Priority:
+	case w.yields != other.yields || w.starved != other.starved || w.Priority != other.Priority:
 		return w.before(other, now)
 	case late != otherLate:
 		return otherLate
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,6 +34,10 @@
 	// CanOverflow is true if the sender can offer the request to another region. If no slot is free, such a request is
 	// refused instead of queued while it can still meet its soft deadline there.
 	CanOverflow bool
+	// Streamed is true if the caller's body is sent on while it arrives. While callers stall, such requests yield to others.
+	Streamed bool
+	// Caller tells whether the caller stalls; nil: the request is not cut off for that.
+	Caller Caller
 }
 
 // waiter is a queued request.
@@ -47,6 +51,7 @@
 	overserved   bool          // its tenant has got more requests through than it is due
 	underserved  bool          // its kind has got far fewer requests through than others
 	refuseIfSlow bool          // may be refused while queued because the target is slow
+	yields       bool          // it is streamed, and callers of others have stalled
 	starved      bool          // the next request that the target's limit admits is this kind's; see rateLimit.isStarved
 	result       chan result   // buffered, receives one value
 }
@@ -71,9 +76,12 @@
 // services call: without it, short calls on behalf of requests that had already run for long were refused behind long
 // new requests, and the work of their callers was lost. Within a priority the classes of the last plan follow, so that as
 // many requests as possible meet their soft deadlines, and within a class the earliest soft deadline, or the order of
-// arrival for requests that are late already. Under a limit of the target, a kind that got none of the last requests goes
+// arrival for requests that are late already. While callers stall, streamed requests go last. Under a limit of the target, a kind that got none of the last requests goes
 // first.
 func (w *waiter) before(other *waiter, now time.Time) bool {
+	if w.yields != other.yields {
+		return other.yields
+	}
 	if w.starved != other.starved {
 		return w.starved
 	}
@@ -129,6 +137,12 @@
 	return best
 }
 
+// goesBefore reports whether a request in the queue goes before w, which has just arrived. Streamed requests that are held back
+// do not keep others from free slots.
+func (q *queue) goesBefore(w *waiter) bool {
+	return slices.ContainsFunc(q.waiters, func(other *waiter) bool { return other.Exclusive || !other.yields || w.yields })
+}
+
 // countAhead returns the number of waiters that would get a slot before w.
 func (q *queue) countAhead(w *waiter, now time.Time) int {
 	count := 0
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -230,7 +230,7 @@
 // classify returns the class under which the balancer counts a failure.
 func classify(failed *failure.Error) balance.Class {
 	switch failed.Reason {
-	case failure.CallerGone, failure.DuplicateAttempt, failure.Quarantined:
+	case failure.CallerGone, failure.CallerStalled, failure.DuplicateAttempt, failure.Quarantined:
 		return balance.Cancelled
 	case failure.ConnectFailed, failure.ConnectionLost, failure.ConnectionSilent, failure.NodeUnreachable,
 		failure.DeadlineExceeded, failure.TargetConnectionBroke, failure.TargetUnreachable:
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -275,7 +275,7 @@
 func retryable(c *call, failed *failure.Error) bool {
 	switch failed.Reason {
 	case failure.Quarantined, failure.BadRequest, failure.DeadlineExceeded, failure.CallerGone,
-		failure.DuplicateAttempt, failure.BadIdempotencyKey, failure.KeyReused, failure.NoTarget:
+		failure.DuplicateAttempt, failure.BadIdempotencyKey, failure.KeyReused, failure.NoTarget, failure.CallerStalled:
 		return false
 	}
 	if failed.Outcome == failure.NotRun {
--- a/internal/failure/reasons.go
+++ b/internal/failure/reasons.go
@@ -52,6 +52,7 @@
 	TargetBusy            Reason = "target-busy"    // no slot is free, and another region may have one
 	WaitTooLong           Reason = "wait-too-long"  // the request would miss its soft deadline in the queue; another target may be free
 	TargetLimited         Reason = "target-limited" // the target's own limit admits no request now; another may have room
+	CallerStalled         Reason = "caller-stalled" // the caller stopped in the body or the answer while others wanted its place
 	ZoneEvacuated         Reason = "zone-evacuated" // targets of the availability zone get no requests, by the operators' order
 
 	// Reasons for calls with an Idempotency-Key.
--- a/internal/inbound/answer.go
+++ b/internal/inbound/answer.go
@@ -131,9 +131,12 @@
 // writePart writes one part of the body to the caller and flushes it. The server flushes the last part of a body of
 // known length.
 func (e *exchange) writePart(part []byte, control *http.ResponseController, last bool) error {
+	e.writing.Store(true)
+	defer e.writing.Store(false)
 	if _, err := e.w.Write(part); err != nil {
 		return err
 	}
+	e.written.Add(int64(len(part)))
 	if last {
 		return nil
 	}
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -39,6 +39,9 @@
 	answeredEarly   bool // the answer began before the end of the body; set by the goroutine of the handler
 	lengthKnown     bool // the answer that began early has a known length
 
+	waiting atomic.Bool  // for the caller, in a read of source
+	moved   atomic.Int64 // bytes read from source
+
 	mu           sync.Mutex // held during a read
 	bytesRead    int64      // bytes read from source
 	prefix       []byte     // start of the body, if it was read for the quarantine check
@@ -66,7 +69,10 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	b.waiting.Store(true)
 	n, err := b.source.Read(p)
+	b.waiting.Store(false)
+	b.moved.Add(int64(n))
 	b.digest.Write(p[:n])
 	b.bytesRead += int64(n)
 	switch {
--- a/internal/inbound/exchange.go
+++ b/internal/inbound/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/acacialock/acacialock/internal/admission"
@@ -32,8 +33,14 @@
 	responseComplete bool // the target's response was read to its end
 	bodyBuffered     bool // the whole body was read before the header is written
 	cancelled        bool // the request to the target was cancelled, by the caller or at the deadline
+	control          *http.ResponseController
+	cancelTarget     context.CancelFunc // of the request to the target; set before the slot is taken
+	writing          atomic.Bool        // waits until the caller takes a part of the answer
+	written          atomic.Int64       // bytes of the answer's body that the caller has taken
+	cutOff           atomic.Bool        // the caller stalled while others wanted the slot
 
 	mu                sync.Mutex
+	slotReleased      bool // CutOff has no effect any more
 	headerWritten     bool // the final header is or will be written; no informational response may follow
 	informational     int  // informational responses received
 	conn              *quarantine.Conn
@@ -52,19 +59,22 @@
 	}
 	body.digest = digest
 	body.deadline = forwarded.deadline
-	return &exchange{handler: h, w: w, r: r, forwarded: forwarded, attempt: recorded, digest: digest, body: body}
+	return &exchange{
+		handler: h, w: w, r: r, forwarded: forwarded, attempt: recorded, digest: digest, body: body, control: body.control,
+	}
 }
 
 // run processes the request. It returns a failure to be sent to the caller, or nil if a response was sent.
 func (e *exchange) run() *failure.Error {
+	ctx, cancel := e.targetContext()
+	defer cancel()
+	e.cancelTarget = cancel
 	defer e.release()
 	if refused := e.admit(); refused != nil {
 		e.attempt.Refuse()
 		return refused
 	}
 	defer e.attempt.MarkBroken() // no effect if another end was recorded
-	ctx, cancel := e.targetContext()
-	defer cancel()
 	defer func() { e.cancelled = ctx.Err() != nil }()
 	if e.r.ContentLength != 0 {
 		defer context.AfterFunc(ctx, e.body.interrupt)()
@@ -114,6 +124,7 @@
 	var refused *failure.Error
 	rank := e.forwarded.rank
 	rank.Exclusive = e.pass.Isolated()
+	rank.Streamed, rank.Caller = e.body.expectsContinue, e
 	start := time.Now()
 	e.slot, refused = e.handler.limiter.Acquire(ctx, rank)
 	e.handler.config.Metrics.ObserveDuration("wait.target.us", time.Since(start))
@@ -143,6 +154,9 @@
 		e.tracked = nil
 	}
 	if e.slot != nil {
+		e.mu.Lock()
+		e.slotReleased = true
+		e.mu.Unlock()
 		e.releaseSlot()
 		e.slot = nil
 	}
--- a/internal/inbound/failures.go
+++ b/internal/inbound/failures.go
@@ -24,6 +24,9 @@
 
 // notWrittenFailure returns the failure of a request of which no byte was written to the target.
 func (e *exchange) notWrittenFailure(ctx context.Context, err error) *failure.Error {
+	if e.cutOff.Load() {
+		return stalledFailure(err, failure.NotRun)
+	}
 	if failed := contextFailure(ctx, failure.NotRun); failed != nil {
 		return failed
 	}
@@ -36,6 +39,9 @@
 // unknownOutcomeFailure returns the failure of a request that the target may have run. It also reports the end of the
 // connection or the time-out to the quarantine, which decides whether the target crashed.
 func (e *exchange) unknownOutcomeFailure(ctx context.Context, err error) *failure.Error {
+	if e.cutOff.Load() {
+		return stalledFailure(err, failure.Unknown)
+	}
 	if failed := contextFailure(ctx, failure.Unknown); failed != nil {
 		if failed.Reason == failure.DeadlineExceeded {
 			e.tracked.ReportTimeout(ctx)
@@ -51,6 +57,11 @@
 	return failure.Wrap(err, failure.TargetConnectionBroke, failure.Unknown, "the target closed the connection")
 }
 
+// stalledFailure returns the failure of a request that was cut off because its caller stalled.
+func stalledFailure(err error, outcome failure.Outcome) *failure.Error {
+	return failure.Wrap(err, failure.CallerStalled, outcome, "the caller stopped while others wanted its place")
+}
+
 // contextFailure returns the failure with the given outcome if the context has ended, and nil otherwise.
 func contextFailure(ctx context.Context, outcome failure.Outcome) *failure.Error {
 	switch err := ctx.Err(); {
