callerhttp: count answers that are read ahead, and close callers that leave them

Cause: the account counted states of a request one by one, and everything that was sent on counted as in progress.

Answers that are read ahead are now reserved in the account; without room they are streamed. A write that its caller has not read for a second no longer protects the connection when others need its memory or its place.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -39,8 +39,8 @@
 // holding is what a connection holds while its callers send.
 type holding struct {
 	kind         callermem.Kind
-	bytes        int       // of an incomplete head, or of a body that is read ahead
-	requestBytes int       // of the head of the request whose body is read ahead
+	bytes        int       // of an incomplete head, of a body that is read ahead, or of answers that the caller leaves unread
+	requestBytes int       // of the head of the request that the body or the answer belongs to
 	placed       bool      // a request is in progress, or the connection ends
 	served       bool      // a request was answered before
 	since        time.Time // the last request was answered, or the connection was accepted
@@ -61,7 +61,7 @@
 	}
 }
 
-// memoryVictims answers crowds that hold many incomplete heads or bodies. It returns the indexes of the connections to close so that
+// memoryVictims answers crowds that hold many incomplete heads, incomplete bodies or unread answers. It returns the indexes of the connections to close so that
 // excess bytes become free: those first that have held the most for the longest time, in bytes times seconds.
 // Connections with a request in progress are never among them.
 func memoryVictims(holdings []holding, excess int64, now time.Time) []int {
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -67,6 +67,7 @@
 	lingers       bool        // it is closed after lingerTimeout
 	lingering     bool        // it is closed for writing and still open for reading
 	closed        bool
+	writeSince    time.Time // a write to the caller began; zero: none is in progress
 	left          bool      // the caller has closed its connection, or half of it
 	waiting       int       // goroutines that wait for changed
 	outBytes      int       // capacity of the buffers of answers
@@ -465,16 +466,33 @@
 }
 
 // placed reports whether a request is in progress that must not be cut off. The caller holds mu.
-func (c *conn) placed() bool { return len(c.queue) > 0 && !c.queue[0].readsAhead }
+func (c *conn) placed() bool {
+	return len(c.queue) > 0 && !c.queue[0].readsAhead && !c.leavesUnread(time.Now())
+}
+
+// leavesUnread reports whether the caller has not read the answer that is written for so long that the connection may be closed
+// for others. The caller holds mu.
+func (c *conn) leavesUnread(now time.Time) bool {
+	return !c.writeSince.IsZero() && now.Sub(c.writeSince) >= minUnreadTime
+}
 
 // holding returns what the connection holds.
 func (c *conn) holding() holding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := holding{bytes: int(c.heldBytes.Load()), placed: c.placed() || c.closed, served: c.served, since: c.since, heldSince: c.headSince}
-	if len(c.queue) > 0 && c.queue[0].readsAhead {
-		e := c.queue[0]
-		h.kind, h.bytes, h.requestBytes, h.heldSince = callermem.Bodies, int(e.bodyBytes.Load()), int(e.requestBytes.Load()), e.readAheadSince
+	h := holding{bytes: int(c.heldBytes.Load()), placed: c.closed || c.placed(), served: c.served, since: c.since, heldSince: c.headSince}
+	if len(c.queue) == 0 || h.placed {
+		return h
+	}
+	e := c.queue[0]
+	h.requestBytes = int(e.requestBytes.Load())
+	if e.readsAhead {
+		h.kind, h.bytes, h.heldSince = callermem.Bodies, int(e.bodyBytes.Load()), e.readAheadSince
+	} else {
+		h.kind, h.bytes, h.heldSince = callermem.Answers, c.outBytes, c.writeSince
+		for _, e := range c.queue {
+			h.bytes += int(e.answerBytes.Load())
+		}
 	}
 	return h
 }
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -26,7 +26,7 @@
 	reserved int // bytes that are reserved for the answer because those before it are not complete
 
 	// Bytes that are counted in the account until the request ends.
-	requestBytes, bodyBytes atomic.Int64
+	requestBytes, bodyBytes, answerBytes atomic.Int64
 
 	continueMu sync.Mutex // guards body.continues and the write of the informational answer
 
@@ -140,6 +140,17 @@
 	account := e.conn.server.account
 	account.Release(callermem.Requests, e.requestBytes.Swap(0))
 	account.Release(callermem.Bodies, e.bodyBytes.Swap(0))
+	account.Release(callermem.Answers, e.answerBytes.Swap(0))
+}
+
+// ReserveAnswer counts bytes of the answer that are kept until the request ends, unless callers would make the process hold too
+// much. It may be called from any goroutine.
+func (e *exchange) ReserveAnswer(bytes int) bool {
+	if !e.conn.server.account.Reserve(callermem.Answers, int64(bytes)) {
+		return false
+	}
+	e.answerBytes.Add(int64(bytes))
+	return true
 }
 
 // finish sends the rest of the answer and hands the connection on. It returns false if the answer is shorter than announced.
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -20,6 +20,8 @@
 	// nearer than minWriteTimeout, so that most writes set none.
 	minWriteTimeout = 30 * time.Second
 	maxWriteTimeout = 60 * time.Second
+	// minUnreadTime is the time after which a write that the caller does not read may be ended for others.
+	minUnreadTime = time.Second
 	// leftWriteTimeout limits writes to a caller that has closed its connection, or half of it.
 	leftWriteTimeout = 5 * time.Second
 )
@@ -55,10 +57,13 @@
 
 // write writes the parts at once. Only the goroutine that writes for the first exchange calls it.
 func (c *conn) write(parts [][]byte) (err error) {
-	if now := time.Now(); c.writeUntil.Sub(now) < minWriteTimeout {
+	now := time.Now()
+	if c.writeUntil.Sub(now) < minWriteTimeout {
 		c.writeUntil = now.Add(maxWriteTimeout)
 		c.setWriteDeadline(c.writeUntil)
 	}
+	c.setWriting(now)
+	defer c.setWriting(time.Time{})
 	if len(parts) == 1 {
 		_, err = c.net.Write(parts[0])
 	} else {
@@ -71,6 +76,13 @@
 	return err
 }
 
+// setWriting records when the write in progress began.
+func (c *conn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeSince = since
+}
+
 // setWriteDeadline sets the write deadline unless the caller has left.
 func (c *conn) setWriteDeadline(until time.Time) {
 	c.mu.Lock()
--- a/internal/callerhttp/readahead_test.go
+++ b/internal/callerhttp/readahead_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +136,43 @@
 	assert.Assert(t, err != nil, "the connection stays open")
 	server.requireNothingHeld(t)
 }
+
+// Guards against a crowd that leaves answers unread which were read ahead for it, and keeps the memory from others for as long as a
+// write may take.
+func TestUnreadAnswersMakeRoom(t *testing.T) {
+	const length, crowd = 100_000, 20
+	var refused atomic.Int64
+	server, addr := startServer(t, Bounds{Memory: 4 << 20}, func(w http.ResponseWriter, r *http.Request) {
+		if !w.(*exchange).ReserveAnswer(length) {
+			refused.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		for range 100 { // more than the buffers of the connection take
+			if _, err := w.Write(make([]byte, length)); err != nil || r.Method == http.MethodPost {
+				return
+			}
+		}
+	})
+	var open []net.Conn
+	for range crowd {
+		conn, _ := dial(t, addr)
+		write(t, conn, get("/once"))
+		open = append(open, conn)
+	}
+	for served, end := 0, time.Now().Add(testTimeout); served < 20; {
+		conn, reader := dial(t, addr)
+		write(t, conn, post(0, ""))
+		status, _, _ := readAnswer(reader, http.MethodPost)
+		if status == http.StatusOK {
+			served++
+		}
+		_ = conn.Close()
+		assert.Assert(t, server.Held().Answers <= server.account.Share(callermem.Answers)+length, "%+v", server.Held())
+		assert.Assert(t, time.Now().Before(end), "%d requests were served, %d refused", served, refused.Load())
+	}
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	server.requireNothingHeld(t)
+}
--- a/internal/callermem/size.go
+++ b/internal/callermem/size.go
@@ -8,12 +8,15 @@
 	headerLineBytes = 256     // the entries of a header line in the request, in its copies, and in the list that sorts them
 )
 
-// RequestSize returns the memory that a request takes whose head has the given size and number of header lines.
+// RequestSize returns the memory that a request in progress takes whose head has the given size and number of header lines.
 func RequestSize(headBytes, headerLines int) int {
-	return requestBytes + 2*headBytes + headerLines*headerLineBytes
+	return requestBytes + headSize(headBytes, headerLines)
 }
 
-// HeaderSize returns the memory that a request with this header takes.
+// ForwardedSize returns the memory that a request in progress takes that another node has forwarded.
+func ForwardedSize(header http.Header) int { return requestBytes + HeaderSize(header) }
+
+// HeaderSize returns the memory that a header takes.
 func HeaderSize(header http.Header) int {
 	bytes, lines := 0, 0
 	for name, values := range header {
@@ -22,5 +25,7 @@
 			lines++
 		}
 	}
-	return RequestSize(bytes, lines)
+	return headSize(bytes, lines)
 }
+
+func headSize(bytes, lines int) int { return 2*bytes + lines*headerLineBytes }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/forward"
@@ -202,12 +203,17 @@
 
 // readAhead reads the whole body of an answer whose length is known and at most Config.ReadAheadBytes. Nothing of the
 // answer has been sent to the caller then, so that a connection that breaks is a failure that can be retried or reported;
-// later, only the caller's connection can be closed. ctx bounds the time.
+// later, only the caller's connection can be closed. ctx bounds the time. While callers use all memory that they may use, the answer
+// is streamed.
 func (a *attempt) readAhead(ctx context.Context, response *http.Response) error {
 	length := response.ContentLength
 	if length <= 0 || length > int64(a.handler.config.ReadAheadBytes) || a.call.request.Method == http.MethodHead {
 		return nil
 	}
+	if a.call.answers != nil && !a.call.answers.ReserveAnswer(int(length)+callermem.HeaderSize(response.Header)) {
+		a.handler.config.Metrics.Counter("answer.not-read-ahead").Inc(1)
+		return nil
+	}
 	defer context.AfterFunc(ctx, a.cancel)()
 	body := make([]byte, length)
 	if _, err := io.ReadFull(response.Body, body); err != nil {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -26,6 +26,12 @@
 // maxSends is the greatest number of sends of one call, counted over all layers of nested calls.
 const maxSends = 6
 
+// answerMemory is implemented by the response writers of a server that bounds the memory of answers.
+type answerMemory interface {
+	// ReserveAnswer counts bytes of the answer that are kept until the request ends, and reports whether they may be kept.
+	ReserveAnswer(bytes int) bool
+}
+
 // call is the state of one caller's request while the entry node handles it.
 type call struct {
 	request      *http.Request
@@ -37,6 +43,7 @@
 	regions      []string            // regions that the call may be sent to; nil: all
 	service      *servicelist.Service
 	body         *requestBody
+	answers      answerMemory // counts answers that are read ahead; nil: they are not counted
 	idempotent   bool
 	key          string
 	deadline     time.Time
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -151,6 +151,7 @@
 		h.refuse(w, failed)
 		return
 	}
+	c.answers, _ = w.(answerMemory)
 	ctx, cancel := c.withDeadline()
 	defer cancel()
 	defer context.AfterFunc(h.stopped, cancel)()
