inbound: count the heads of forwarded requests in the account of callers

The node of a target held the heads of all requests that others forwarded to it outside of caller_memory: heads of 4,000 lines from several entry nodes add up at one target.

The node creates one account for the callers' server and the target's side.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/control"
 	"github.com/acacialock/acacialock/internal/entry"
@@ -56,6 +57,7 @@
 	entry     *entry.Handler
 	policies  *entry.Policies
 	transport *forward.Transport
+	memory    *callermem.Account // what callers make the process hold
 	servers   *serving.Servers
 	draining  atomic.Bool
 	// ready is set once control is ready and the suspect requests known to other nodes have been loaded. Until then,
@@ -73,6 +75,7 @@
 // can't be opened.
 func New(set *settings.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{settings: settings.NewActive(set), options: options, self: set.NewMember(), metrics: telemetry.New()}
+	d.memory = callermem.NewAccount(set.CallerBounds().Memory)
 	d.view = cluster.NewView(&cluster.Snapshot{Self: d.self})
 	d.metering = &metering{byteBudget: budget.NewByteBudget(defaultLimits, nil), view: d.view}
 	d.peers = peerclient.New(options.Dial, func(next http.RoundTripper) http.RoundTripper {
@@ -138,6 +141,7 @@
 		Peers:           quarantine.NewPeers(d.view, d.peers.Pooled),
 		HealthPath:      d.settings.TargetHealthPath,
 		AllowLoadSample: d.metering.chargeSample,
+		Memory:          d.memory,
 	})
 	service, err := keys.New(keys.Config{
 		Self:    d.self,
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -19,7 +19,7 @@
 		serving.Listener{
 			Name: "entry", Addr: d.settings.EntryAddr, Limits: d.entry.CallerLimits, DrainOnShutdown: true,
 			Handler:    framing.Handler(framing.CloseConnectionsWhile(&d.draining, d.entry), d.entry.RefuseHeader),
-			MayOverlap: d.entry.MayOverlap, Bounds: d.settings.CallerBounds(),
+			MayOverlap: d.entry.MayOverlap, Bounds: d.settings.CallerBounds(), Account: d.memory,
 			Count: d.countEvent,
 		},
 		serving.Listener{
--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/acacialock/acacialock/internal/admission"
 	"github.com/acacialock/acacialock/internal/attempt"
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/quarantine"
@@ -72,6 +73,8 @@
 	// ReadAheadBytes is the size in bytes up to which a response body is buffered before its header is forwarded, so that
 	// a truncated response becomes a failure that can be retried; 0: responses are streamed.
 	ReadAheadBytes int
+	// Memory counts the heads of requests in progress; nil: they are not counted.
+	Memory *callermem.Account
 	// MaxAttempts and MaxAnswerBytes limit the size of the ledger; 0: the defaults of package attempt.
 	MaxAttempts    int
 	MaxAnswerBytes int
@@ -174,6 +177,13 @@
 	if refused != nil {
 		return refused
 	}
+	if h.config.Memory != nil {
+		size := int64(callermem.ForwardedSize(r.Header))
+		if !h.config.Memory.Reserve(callermem.Forwarded, size) {
+			return notRun(failure.CallerMemoryFull, "the requests of callers take all memory that they may use")
+		}
+		defer h.config.Memory.Release(callermem.Forwarded, size)
+	}
 	recorded, refused := h.ledger.Begin(forwarded.call)
 	if refused != nil {
 		return refused
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/acacialock/acacialock/internal/allotment"
 	"github.com/acacialock/acacialock/internal/budget"
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/cluster"
 	"github.com/acacialock/acacialock/internal/entry"
 	"github.com/acacialock/acacialock/internal/failure"
@@ -83,6 +84,7 @@
 	allotments *allotment.Allotments
 	entry      *entry.Handler
 	target     *localTarget
+	memory     *callermem.Account // what callers make the process hold
 	servers    *serving.Servers
 	draining   atomic.Bool
 
@@ -92,6 +94,7 @@
 // New returns a node on the platform of adapter and opens its listeners. Run serves them.
 func New(set *settings.Settings, adapter Platform) (*Node, error) {
 	n := &Node{settings: settings.NewActive(set), platform: adapter, self: set.NewMember(), metrics: telemetry.New()}
+	n.memory = callermem.NewAccount(set.CallerBounds().Memory)
 	n.view = cluster.NewView(&cluster.Snapshot{Self: n.self})
 	n.peers = peerclient.New(nil, nil)
 	n.directory = membership.New(membership.Config{
@@ -160,6 +163,7 @@
 		RemainingWarmUp:        checkIn.RemainingWarmUp,
 		WarmUpKnown:            checkIn.Sequence > 0,
 		ReadAheadBytes:         readAheadBytes,
+		Memory:                 n.memory,
 	})
 }
 
@@ -170,7 +174,7 @@
 		serving.Listener{
 			Name: "entry", Addr: n.settings.EntryAddr, Limits: n.entry.CallerLimits, DrainOnShutdown: true,
 			Handler:    framing.Handler(framing.CloseConnectionsWhile(&n.draining, callers), n.entry.RefuseHeader),
-			MayOverlap: n.entry.MayOverlap, Bounds: n.settings.CallerBounds(),
+			MayOverlap: n.entry.MayOverlap, Bounds: n.settings.CallerBounds(), Account: n.memory,
 			Count: n.countEvent,
 		},
 		serving.Listener{
--- a/internal/serving/servers.go
+++ b/internal/serving/servers.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/acacialock/acacialock/internal/callerhttp"
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/framing"
 	"github.com/acacialock/acacialock/internal/telemetry"
 )
@@ -39,8 +40,9 @@
 	// Limits returns the limits on requests of callers. If set, the listener is served by internal/callerhttp, and Handler must be
 	// a framing.Refuser. If nil, there are no limits, and the listener is served by net/http.
 	Limits func() framing.Limits
-	// Bounds and MayOverlap are those of callerhttp.Config. They apply if Limits is set.
+	// Bounds, Account and MayOverlap are those of callerhttp.Config. They apply if Limits is set.
 	Bounds     callerhttp.Bounds
+	Account    *callermem.Account
 	MayOverlap func(r *http.Request) bool
 	// Count counts refusals and closed connections under a name; nil: they are not counted.
 	Count func(name string)
@@ -108,7 +110,7 @@
 	return callerhttp.New(callerhttp.Config{
 		Handler: l.recoverPanics(onPanic, l.Handler.ServeHTTP),
 		Refuse:  refuser.RefuseHeader,
-		Limits:  l.Limits, Bounds: l.Bounds, MayOverlap: l.MayOverlap, Count: l.Count,
+		Limits:  l.Limits, Bounds: l.Bounds, Account: l.Account, MayOverlap: l.MayOverlap, Count: l.Count,
 	})
 }
 
