callerhttp: close refused callers whose bodies stop when others need their connections

While all connections belonged to requests that were refused before their bodies had arrived, each new connection was closed, unread, for up to two seconds at a time; a crowd that comes again keeps that up.

Cause: the rest of a body is discarded before the refusal is sent, and the connection counted as one with a request in progress meanwhile.

It can now be closed for others in that time. TestRefusedBodiesThatStopMakeRoom failed before (none of ten connections could be closed) and passes.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -205,6 +205,8 @@
 	if !b.chunked && b.remaining > maxDiscardedBytes || b.exchange.awaitsContinue() {
 		return false
 	}
+	b.exchange.conn.setAwaitsBody(b.exchange, true)
+	defer b.exchange.conn.setAwaitsBody(b.exchange, false)
 	b.exchange.conn.limitBody(discardTimeout)
 	buffer := readBuffers.Get().(*[readBufferBytes]byte)
 	defer readBuffers.Put(buffer)
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -439,8 +439,7 @@
 	c.server.closedConn(c)
 }
 
-// evict closes the connection unless a request is in progress, and reports whether it did. A request whose body is read ahead
-// does not count as in progress.
+// evict closes the connection unless a request is in progress that must not be cut off, and reports whether it did.
 func (c *conn) evict() bool { return c.closeUnless(c.placed) }
 
 // closeIdle closes the connection unless there is a request on it, and reports whether it did.
@@ -467,7 +466,7 @@
 
 // placed reports whether a request is in progress that must not be cut off. The caller holds mu.
 func (c *conn) placed() bool {
-	return len(c.queue) > 0 && !c.queue[0].readsAhead && !c.leavesUnread(time.Now())
+	return len(c.queue) > 0 && !c.queue[0].awaitsBody && !c.leavesUnread(time.Now())
 }
 
 // leavesUnread reports whether the caller has not read the answer that is written for so long that the connection may be closed
@@ -486,8 +485,8 @@
 	}
 	e := c.queue[0]
 	h.requestBytes = int(e.requestBytes.Load())
-	if e.readsAhead {
-		h.kind, h.bytes, h.heldSince = callermem.Bodies, int(e.bodyBytes.Load()), e.readAheadSince
+	if e.awaitsBody {
+		h.kind, h.bytes, h.heldSince = callermem.Bodies, int(e.bodyBytes.Load()), e.awaitsBodySince
 	} else {
 		h.kind, h.bytes, h.heldSince = callermem.Answers, c.outBytes, c.writeSince
 		for _, e := range c.queue {
--- a/internal/callerhttp/exchange.go
+++ b/internal/callerhttp/exchange.go
@@ -36,9 +36,10 @@
 	done    bool   // the handler has returned and the answer is complete
 	aborted bool   // the answer stays incomplete, the connection is closed in its place
 	closes  bool   // the answer says that the connection is closed after it
-	// readsAhead is set while the body is read before the request is sent on. The connection may be closed for others then.
-	readsAhead     bool
-	readAheadSince time.Time
+	// awaitsBody is set while the body is read before the request is sent on, or discarded before it is answered. The connection
+	// may be closed for others then.
+	awaitsBody      bool
+	awaitsBodySince time.Time
 }
 
 // init sets the request, its context and its body.
--- a/internal/callerhttp/readahead.go
+++ b/internal/callerhttp/readahead.go
@@ -63,21 +63,23 @@
 
 // beginReadAhead lets the connection be closed for others, and makes reads of the body fail once ctx ends. The result ends both.
 func (c *conn) beginReadAhead(ctx context.Context, e *exchange) (end func()) {
-	set := func(readsAhead bool) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		e.readsAhead, e.readAheadSince = readsAhead, time.Now()
-	}
-	set(true)
+	c.setAwaitsBody(e, true)
 	stop := context.AfterFunc(ctx, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if e.readsAhead {
+		if e.awaitsBody {
 			c.setDeadline(longPast)
 		}
 	})
 	return func() {
 		stop()
-		set(false)
+		c.setAwaitsBody(e, false)
 	}
 }
+
+// setAwaitsBody records whether the connection may be closed for others because the body of e has not arrived.
+func (c *conn) setAwaitsBody(e *exchange, awaits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.awaitsBody, e.awaitsBodySince = awaits, time.Now()
+}
