logsink: limit the queue in bytes

While the reader of the log is stuck, callers whose requests are refused with long ids or paths made the process keep up to 64 MB of log lines.

Cause: the queue was limited to 4,096 lines, whatever their size. It is now also limited to 2 MiB; further lines are dropped and counted as before.

TestQueuedBytesAreBounded found 33.5 MB in the queue before and passes.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxQueuedLines is the capacity of the queue. At 300 bytes per line a full queue takes about 1 MB.
+	// maxQueuedLines and maxQueuedBytes limit the queue. A line may quote a caller's header of 16 KB.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
 	// MaxBytesPerSecond is the rate limit for one process. It is enough for the lines of about 800 failed requests per
 	// second.
 	MaxBytesPerSecond = 256 << 10
@@ -27,6 +28,7 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	queued  atomic.Int64 // bytes of the lines in the queue
 	done    chan struct{}
 
 	mu          sync.Mutex
@@ -49,12 +51,13 @@
 func (s *Sink) Write(line []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || !s.reserve(len(line)) {
+	if s.closed || s.queued.Load()+int64(len(line)) > maxQueuedBytes || !s.reserve(len(line)) {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
+		s.queued.Add(int64(len(line)))
 	default:
 		s.dropped.Add(1)
 	}
@@ -83,6 +86,7 @@
 	var reported int64
 	var reportedAt time.Time
 	for line := range s.lines {
+		s.queued.Add(-int64(len(line)))
 		_, _ = s.out.Write(line) // there is no place to report an error of the log output
 		if dropped := s.dropped.Load(); dropped > reported && time.Since(reportedAt) >= reportInterval {
 			_, _ = fmt.Fprintf(s.out, "log lines dropped: %d since the start\n", dropped)
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -33,6 +33,25 @@
 	<-sink.done
 }
 
+// Guards against callers whose long headers are quoted in lines that take the memory of the process while the output is blocked.
+func TestQueuedBytesAreBounded(t *testing.T) {
+	out := blockedWriter{make(chan struct{})}
+	sink := New(out, 1<<30)
+	line := bytes.Repeat([]byte("x"), 16<<10)
+	for range maxQueuedLines / 2 {
+		_, err := sink.Write(line)
+		assert.NilError(t, err)
+	}
+	queued := 0
+	for len(sink.lines) > 0 {
+		queued += len(<-sink.lines)
+	}
+	assert.Assert(t, queued <= maxQueuedBytes, "%d bytes", queued)
+	close(out.release)
+	sink.Close()
+	<-sink.done
+}
+
 // syncBuffer is a bytes.Buffer for concurrent writers.
 type syncBuffer struct {
 	mu   sync.Mutex
