--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,6 +100,7 @@
 	// A stream of its own keeps the faults of a seed the same.
 	statements.Go(func() { s.makeStatements(rand.New(rand.NewPCG(config.seed, 2))) })
 	statements.Go(func() { s.restoreStore(rand.New(rand.NewPCG(config.seed, 3))) })
+	statements.Go(func() { s.sendCrowds(rand.New(rand.NewPCG(config.seed, 4))) })
 	s.injectFaults(rand.New(rand.NewPCG(config.seed, 0)))
 	statements.Wait()
 	timer.Stop()
