callerhttp: close connections whose last answer was sent when others need their place

Cause: after an answer that comes before the end of a body a connection stays open for 500 ms, and was not among those that can be closed for others.

It now goes first: its caller has been answered. TestRefusedCallersMakeRoom failed before for these connections and passes.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -43,6 +43,7 @@
 	requestBytes int       // of the head of the request that the body or the answer belongs to
 	placed       bool      // a request is in progress, or the connection ends
 	served       bool      // a request was answered before
+	lingers      bool      // the last answer was sent, and the connection is only open so that the caller can read it
 	since        time.Time // the last request was answered, or the connection was accepted
 	heldSince    time.Time // the first of the bytes arrived
 }
@@ -83,10 +84,17 @@
 }
 
 // connectionVictims answers crowds that hold many connections. It returns the indexes of count connections to close: those first
-// that never had a request answered, of these and of the others those first that wait for the longest time.
+// whose last answer was sent, then those that never had a request answered, and of each of these and of the others those first that
+// wait for the longest time.
 func connectionVictims(holdings []holding, count int) []int {
 	victims := candidates(holdings, func(holding) bool { return true })
 	slices.SortStableFunc(victims, func(a, b int) int {
+		if holdings[a].lingers != holdings[b].lingers {
+			if holdings[a].lingers {
+				return -1
+			}
+			return 1
+		}
 		if holdings[a].served != holdings[b].served {
 			if holdings[b].served {
 				return -1
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -440,7 +440,17 @@
 }
 
 // evict closes the connection unless a request is in progress that must not be cut off, and reports whether it did.
-func (c *conn) evict() bool { return c.closeUnless(c.placed) }
+// One whose last answer was sent and that stays open only so that its caller can read it is closed at once.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	lingering := c.lingering
+	c.mu.Unlock()
+	if lingering {
+		c.closeNow()
+		return true
+	}
+	return c.closeUnless(c.placed)
+}
 
 // closeIdle closes the connection unless there is a request on it, and reports whether it did.
 func (c *conn) closeIdle() bool { return c.closeUnless(func() bool { return len(c.queue) > 0 }) }
@@ -479,7 +489,11 @@
 func (c *conn) holding() holding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := holding{bytes: int(c.heldBytes.Load()), placed: c.closed || c.placed(), served: c.served, since: c.since, heldSince: c.headSince}
+	h := holding{bytes: int(c.heldBytes.Load()), served: c.served, since: c.since, heldSince: c.headSince, lingers: c.lingering}
+	if h.lingers {
+		return h
+	}
+	h.placed = c.closed || c.placed()
 	if len(c.queue) == 0 || h.placed {
 		return h
 	}
--- a/internal/callerhttp/readahead_test.go
+++ b/internal/callerhttp/readahead_test.go
@@ -177,32 +177,35 @@
 	server.requireNothingHeld(t)
 }
 
-// Guards against requests that were refused and whose bodies stop: they kept their connections, and each new one was closed.
-func TestRefusedBodiesThatStopMakeRoom(t *testing.T) {
+// Guards against callers that were refused and keep their connections, each new one being closed: those whose bodies stop, and
+// those whose answers were sent and that stay open only to be read.
+func TestRefusedCallersMakeRoom(t *testing.T) {
 	const connections = 10
-	handled := make(chan struct{}, connections)
-	server, addr := startServer(t, Bounds{Connections: connections}, func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost {
-			w.WriteHeader(http.StatusNotFound)
-			handled <- struct{}{}
-		}
-	})
-	for end := time.Now().Add(testTimeout); ; { // until all of them are open and none is in progress any more
-		for server.Held().Connections < connections {
-			conn, _ := dial(t, addr)
-			write(t, conn, post(60_000, "12345"))
-			<-handled
-		}
-		if server.countPlaced() == 0 && server.Held().Connections == connections {
-			break
+	for _, length := range []int{60_000, 10_000_000} { // the rest of the longer one is not waited for
+		handled := make(chan struct{}, connections)
+		server, addr := startServer(t, Bounds{Connections: connections}, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				w.WriteHeader(http.StatusNotFound)
+				handled <- struct{}{}
+			}
+		})
+		for end := time.Now().Add(testTimeout); ; { // until all of them are open and none is in progress any more
+			for server.Held().Connections < connections {
+				conn, _ := dial(t, addr)
+				write(t, conn, post(length, "12345"))
+				<-handled
+			}
+			if server.countPlaced() == 0 && server.Held().Connections == connections {
+				break
+			}
+			time.Sleep(time.Millisecond)
+			assert.Assert(t, time.Now().Before(end), "%d bytes", length)
 		}
-		time.Sleep(time.Millisecond)
-		assert.Assert(t, time.Now().Before(end))
+		conn, reader := dial(t, addr)
+		write(t, conn, get("/"))
+		status, _, _ := readAnswer(reader, http.MethodGet)
+		assert.Equal(t, status, http.StatusOK)
 	}
-	conn, reader := dial(t, addr)
-	write(t, conn, get("/"))
-	status, _, _ := readAnswer(reader, http.MethodGet)
-	assert.Equal(t, status, http.StatusOK)
 }
 
 // countPlaced returns the number of connections that may not be closed for others.
