entry: refusals for memory and time say nothing of an earlier call with the same key

In the own form a call with an Idempotency-Key got 503 not-run when callers use all memory, or, since bodies are read until the deadline, when its body did not arrive, although an earlier call with its key may have run.

Cause: the reasons that precede the lookup of a key lacked these, and refusals of heads did not look for a key.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -92,6 +92,10 @@
 		failed = failure.New(failure.HeaderTooLarge, failure.NotRun, "the header is longer than the service list allows")
 	case framing.NoMemory:
 		failed = failure.New(failure.CallerMemoryFull, failure.NotRun, "the requests of callers take all memory that they may use")
+		mayHaveKey := request.Header.Get(wire.IdempotencyKey) != "" || len(request.Header) == 0 // the lines were not parsed
+		if h.config.Keys != nil && mayHaveKey {
+			failed = withUnknownOutcome(failed)
+		}
 	case framing.ConflictingLengths:
 		failed = failure.New(failure.BadRequest, failure.NotRun, "the request has Content-Length and Transfer-Encoding")
 	default:
@@ -164,7 +168,8 @@
 // have run: the refusal depends on the time, not on the call.
 func precedesKey(reason failure.Reason) bool {
 	switch reason {
-	case failure.NoServiceList, failure.KeysUnconfirmed, failure.UnknownKey, failure.AllotmentExceeded, failure.RegionNotAllowed:
+	case failure.NoServiceList, failure.KeysUnconfirmed, failure.UnknownKey, failure.AllotmentExceeded, failure.RegionNotAllowed,
+		failure.CallerMemoryFull, failure.DeadlineExceeded, failure.Draining: // the last two while the body is read
 		return true
 	}
 	return false
