daemon: count relayed calls in the account of callers; unread answers protect for five seconds

In the own form a node held the heads and bodies of calls that other regions relayed to it outside of caller_memory. They count like forwarded ones now; a refusal says nothing of an earlier call with the same key. Found by reading. TestRelayedCallsAreCounted: the refusal did not exist before.

minUnreadTime is 5 s instead of 1 s: one write of 32 KiB takes a second at 32 KB/s, which a slow caller inside the limits may have.

--- a/internal/callerhttp/budget.go
+++ b/internal/callerhttp/budget.go
@@ -62,8 +62,9 @@
 	}
 }
 
-// memoryVictims answers crowds that hold many incomplete heads, incomplete bodies or unread answers. It returns the indexes of the connections to close so that
-// excess bytes become free: those first that have held the most for the longest time, in bytes times seconds.
+// memoryVictims answers crowds that hold many incomplete heads, incomplete bodies or unread answers. It returns the indexes of the
+// connections to close so that excess bytes become free: those first that have held the most for the longest time, in bytes times
+// seconds.
 // Connections with a request in progress are never among them.
 func memoryVictims(holdings []holding, excess int64, now time.Time) []int {
 	victims := candidates(holdings, func(h holding) bool { return h.bytes > 0 })
--- a/internal/callerhttp/order.go
+++ b/internal/callerhttp/order.go
@@ -21,7 +21,7 @@
 	minWriteTimeout = 30 * time.Second
 	maxWriteTimeout = 60 * time.Second
 	// minUnreadTime is the time after which a write that the caller does not read may be ended for others.
-	minUnreadTime = time.Second
+	minUnreadTime = 5 * time.Second
 	// leftWriteTimeout limits writes to a caller that has closed its connection, or half of it.
 	leftWriteTimeout = 5 * time.Second
 )
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/acacialock/acacialock/internal/callermem"
 	"github.com/acacialock/acacialock/internal/failure"
 	"github.com/acacialock/acacialock/internal/framing"
 	"github.com/acacialock/acacialock/internal/inbound"
@@ -57,13 +58,30 @@
 		case strings.HasPrefix(request.URL.Path, wire.ForwardPath+"/"):
 			d.inbound.ServeHTTP(w, request)
 		case strings.HasPrefix(request.URL.Path, wire.RelayPath+"/"):
-			d.entry.ServeRelay(w, request)
+			d.serveRelay(w, request)
 		default:
 			mux.ServeHTTP(w, request)
 		}
 	})
 }
 
+// maxRelayedBody is the size of the largest body that a relayed request keeps.
+const maxRelayedBody = 64 << 10
+
+// serveRelay serves a keyed call of another node, whose memory counts like that of a forwarded request. Whether an earlier call with
+// its key ran is unknown when it is refused.
+func (d *Daemon) serveRelay(w http.ResponseWriter, request *http.Request) {
+	size := int64(callermem.ForwardedSize(request.Header)) + min(max(request.ContentLength, 0), maxRelayedBody)
+	if !d.memory.Reserve(callermem.Forwarded, size) {
+		refusal := failure.New(failure.CallerMemoryFull, failure.Unknown, "the requests of callers take all memory that they may use")
+		d.metrics.CountRefusal("entry", refusal.Reason)
+		inbound.WriteRefusal(w, refusal)
+		return
+	}
+	defer d.memory.Release(callermem.Forwarded, size)
+	d.entry.ServeRelay(w, request)
+}
+
 // refuseStarting refuses a forwarded request because the node is starting. The request was not run, so the sender may retry
 // it at another target.
 func (d *Daemon) refuseStarting(w http.ResponseWriter) {
