testsite: start a worker again while other processes are being started

Cause: a process holds copies of all descriptors from its fork to its exec, the closed listener's among them.

The stand-in now tries again for up to a second.

--- a/internal/testsite/backend.go
+++ b/internal/testsite/backend.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/acacialock/acacialock/platform/standin"
@@ -88,7 +90,7 @@
 func (b *Backend) StartWorker() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	listener, err := net.Listen("tcp", b.addr)
+	listener, err := listenAgain(b.addr)
 	if err != nil {
 		return err
 	}
@@ -119,6 +121,20 @@
 	return nil
 }
 
+// rebindTimeout is far above the time from the fork to the exec of a child process.
+const rebindTimeout = time.Second
+
+// listenAgain listens on an address whose former listener was closed. A process that is started meanwhile holds a copy of that
+// listener from its fork to its exec, and the address stays in use for so long.
+func listenAgain(addr string) (net.Listener, error) {
+	for end := time.Now().Add(rebindTimeout); ; time.Sleep(time.Millisecond) {
+		listener, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, err
+		}
+	}
+}
+
 // StepClock adds step to the clock offset of the machine; workers started later report start times by it.
 func (b *Backend) StepClock(step time.Duration) {
 	b.mu.Lock()
