--- a/internal/callermem/account.go
+++ b/internal/callermem/account.go
@@ -100,26 +100,22 @@
 }
 
 // Reserve counts the bytes, after freeing others if necessary. If the limits leave no room it counts nothing and returns false.
-func (a *Account) Reserve(kind Kind, bytes int64) bool {
-	a.add(kind, bytes)
-	if a.makeRoom(kind, a.ceiling(kind, bytes)) {
-		return true
-	}
-	a.add(kind, -bytes)
-	return false
-}
+func (a *Account) Reserve(kind Kind, bytes int64) bool { return a.reserve(kind, bytes, a.makeRoom) }
 
 // TryReserve is Reserve without freeing others.
-func (a *Account) TryReserve(kind Kind, bytes int64) bool {
+func (a *Account) TryReserve(kind Kind, bytes int64) bool { return a.reserve(kind, bytes, a.fits) }
+
+// reserve counts the bytes if hasRoom, which is called with the ceiling of the kind, returns true then.
+func (a *Account) reserve(kind Kind, bytes int64, hasRoom func(kind Kind, ceiling int64) bool) bool {
 	a.add(kind, bytes)
-	if a.fits(kind, a.ceiling(kind, bytes)) {
+	if hasRoom(kind, a.ceiling(kind, bytes)) {
 		return true
 	}
 	a.add(kind, -bytes)
 	return false
 }
 
-// Add counts bytes that are held already, and frees others if necessary.
+// Add counts bytes that are held already, and frees others if necessary. Negative bytes are taken back.
 func (a *Account) Add(kind Kind, bytes int64) {
 	a.add(kind, bytes)
 	if bytes > 0 {
@@ -154,6 +150,7 @@
 	return true
 }
 
+// fits reports whether the kind is within the ceiling and all kinds are within the limit.
 func (a *Account) fits(kind Kind, ceiling int64) bool {
 	return a.held[kind].Load() <= ceiling && a.total.Load() <= a.limit
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,8 +35,9 @@
 // but not every interleaving.
 func TestRegressionSeeds(t *testing.T) {
 	for seed, cause := range map[uint64]string{
-		17: "two workers died while requests waited to send their bodies, and the whole route was quarantined",
-		41: "SIGHUP right after a start ended the process: its handler was set up after the settings were read",
+		17:   "two workers died while requests waited to send their bodies, and the whole route was quarantined",
+		5107: "the stand-in could not start a worker while another process was being started",
+		41:   "SIGHUP right after a start ended the process: its handler was set up after the settings were read",
 	} {
 		t.Run(cause, func(t *testing.T) {
 			runSeed(t, config{seed: seed, faults: 15 * time.Second, nodes: 6, callers: 24})
