inbound: serve no cold target before the list with its rate is known

Such requests are refused as not run until the list is known, unless the target has said that it is warm. TestColdTargetWaitsForItsRate failed before.

--- a/internal/inbound/handler.go
+++ b/internal/inbound/handler.go
@@ -177,6 +177,9 @@
 	if refused != nil {
 		return refused
 	}
+	if h.lacksColdRate() {
+		return notRun(failure.Starting, "the target warms up, and the node does not know yet how many requests it bears")
+	}
 	if h.config.Memory != nil {
 		size := int64(callermem.ForwardedSize(r.Header))
 		if !h.config.Memory.Reserve(callermem.Forwarded, size) {
@@ -191,6 +194,14 @@
 	return newExchange(h, w, r, forwarded, recorded, body).run()
 }
 
+// lacksColdRate reports whether the target may be cold while the service list, which holds the rate that it bears then, is not known
+// yet. It answers machines that come back together while the store is slow: the members are read before the list, and the
+// requests of all nodes meet the target at once.
+func (h *Handler) lacksColdRate() bool {
+	isWarm := h.config.WarmUpKnown && h.config.RemainingWarmUp <= 0
+	return h.config.Protocol != nil && !isWarm && h.service.Load() == nil
+}
+
 // memberFullSpeedConcurrencies returns the full-speed concurrency that each member of the service found for its target.
 func (h *Handler) memberFullSpeedConcurrencies(snapshot *cluster.Snapshot) []int {
 	var concurrencies []int
