--- a/internal/crowd/rows_test.go
+++ b/internal/crowd/rows_test.go
@@ -60,7 +60,7 @@
 	answerLines = 7_000
 )
 
-// site is a site of the users' form with two nodes: callers use the first one, and the targets of their requests are beside the
+// site is a site of the users' form (platform = "rows") with two nodes: callers use the first one, and the targets of their requests are beside the
 // second one.
 type site struct {
 	*testsite.Site
