--- a/internal/inbound/progress.go
+++ b/internal/inbound/progress.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/acacialock/acacialock/internal/admission"
+	"github.com/acacialock/acacialock/internal/failure"
 )
 
 // Progress implements admission.Caller.
@@ -24,6 +27,8 @@
 	}
 	e.cutOff.Store(true)
 	e.handler.config.Metrics.Counter("target.cut-off").Inc(1)
+	klog.InfoS("request cut off", "request", e.r.Header.Get(e.handler.config.RequestIDHeader), "reason", failure.CallerStalled,
+		"reading", e.body.waiting.Load(), "writing", e.writing.Load(), "moved", e.Progress().Moved)
 	if e.writing.Load() {
 		_ = e.control.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 	}
